--- /dev/null
+++ b/internal/link/connector/codec.go
@@ -0,0 +1,84 @@
+package connector
+
+import (
+	"bufio"
+	"encoding/gob"
+	"io"
+	"net/rpc"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxMessageBytes bounds one message between instances.
+const MaxMessageBytes = 4 << 20
+
+var errTooLarge = errors.Newf("a message exceeds %d bytes", MaxMessageBytes)
+
+// boundedReader fails once more than MaxMessageBytes have been read since the last reset.
+type boundedReader struct {
+	r    io.Reader
+	left int
+}
+
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+// codec is the gob codec of net/rpc with bounded messages, for both ends.
+type codec struct {
+	conn  io.ReadWriteCloser
+	bound *boundedReader
+	dec   *gob.Decoder
+	enc   *gob.Encoder
+	out   *bufio.Writer
+}
+
+func newCodec(conn io.ReadWriteCloser) *codec {
+	bound := &boundedReader{r: conn, left: MaxMessageBytes}
+	out := bufio.NewWriter(conn)
+	return &codec{conn: conn, bound: bound, dec: gob.NewDecoder(bufio.NewReader(bound)), enc: gob.NewEncoder(out), out: out}
+}
+
+func (c *codec) readHead(head any) error {
+	c.bound.left = MaxMessageBytes
+	return c.dec.Decode(head)
+}
+
+func (c *codec) readBody(body any) error { return c.dec.Decode(body) }
+
+func (c *codec) write(head, body any) error {
+	if err := c.enc.Encode(head); err != nil {
+		return err
+	}
+	if err := c.enc.Encode(body); err != nil {
+		return err
+	}
+	return c.out.Flush()
+}
+
+func (c *codec) Close() error { return c.conn.Close() }
+
+type serverCodec struct{ *codec }
+
+func newServerCodec(conn io.ReadWriteCloser) rpc.ServerCodec { return serverCodec{newCodec(conn)} }
+
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHead(r) }
+
+func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+
+type clientCodec struct{ *codec }
+
+func newClientCodec(conn io.ReadWriteCloser) rpc.ClientCodec { return clientCodec{newCodec(conn)} }
+
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
+
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHead(r) }
+
+func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
--- /dev/null
+++ b/internal/link/connector/connector.go
@@ -0,0 +1,224 @@
+// Package connector opens and accepts authenticated connections between instances
+// and makes net/rpc calls over them with timeouts.
+package connector
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/fault"
+	"example.com/dotterelwell/internal/machine/ident"
+)
+
+// Kind classifies the package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindUnreachable means that no connection could be made.
+	KindUnreachable Kind = "unreachable"
+	// KindUnauthorized means that the other end does not hold the shared key.
+	KindUnauthorized Kind = "unauthorized"
+	// KindTimeout means that no answer came in time; the call may have taken effect.
+	KindTimeout Kind = "timeout"
+	// KindFailed means that the other end answered with an error.
+	KindFailed Kind = "failed"
+)
+
+// Error is the package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	dialTimeout      = 1 * clock.Second
+	handshakeTimeout = 2 * clock.Second
+)
+
+// Traffic counts bytes on the wire.
+type Traffic struct{ In, Out atomic.Int64 }
+
+// Connector makes calls to peers and serves theirs. Set the exported fields before use.
+type Connector struct {
+	// Key is the secret that all instances share; empty disables the check.
+	Key []byte
+	// ClientTLS and ServerTLS, when set, wrap connections in TLS.
+	ClientTLS, ServerTLS *tls.Config
+	// Traffic counts the bytes of all connections.
+	Traffic Traffic
+
+	mu      sync.Mutex
+	clients map[ident.Address]*rpc.Client
+	conns   map[net.Conn]struct{}
+	closed  bool
+	served  sync.WaitGroup
+}
+
+// Call makes one call at address. After a timeout the connection is dropped, so that
+// a silent one is not used again.
+func (c *Connector) Call(ctx context.Context, address ident.Address, method string, args, reply any) error {
+	client, err := c.client(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		c.drop(address, client)
+		return fault.New("call "+method, KindTimeout, ctx.Err())
+	}
+	if call.Error == nil {
+		return nil
+	}
+	var answered rpc.ServerError
+	if errors.As(call.Error, &answered) {
+		return fault.New("call "+method, KindFailed, call.Error)
+	}
+	c.drop(address, client)
+	return fault.New("call "+method, KindTimeout, call.Error)
+}
+
+func (c *Connector) client(ctx context.Context, address ident.Address) (*rpc.Client, error) {
+	c.mu.Lock()
+	held := c.clients[address]
+	c.mu.Unlock()
+	if held != nil {
+		return held, nil
+	}
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	client := rpc.NewClientWithCodec(newClientCodec(conn))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held := c.clients[address]; held != nil || c.closed {
+		_ = client.Close() // another call was faster
+		if held == nil {
+			return nil, fault.Newf("connect", KindUnreachable, "the connector is closed")
+		}
+		return held, nil
+	}
+	if c.clients == nil {
+		c.clients = map[ident.Address]*rpc.Client{}
+	}
+	c.clients[address] = client
+	return client, nil
+}
+
+func (c *Connector) dial(ctx context.Context, address ident.Address) (net.Conn, error) {
+	const op = "connect to peer"
+	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
+	raw, err := dialer.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, fault.New(op, KindUnreachable, err)
+	}
+	var conn net.Conn = &countingConn{Conn: raw, traffic: &c.Traffic}
+	if c.ClientTLS != nil {
+		conn = tls.Client(conn, c.ClientTLS)
+	}
+	if err := prove(conn, c.Key, roleClient); err != nil {
+		_ = conn.Close() // the handshake's error matters more
+		return nil, fault.New(op, KindUnauthorized, err)
+	}
+	return conn, nil
+}
+
+func (c *Connector) drop(address ident.Address, client *rpc.Client) {
+	c.mu.Lock()
+	if c.clients[address] == client {
+		delete(c.clients, address)
+	}
+	c.mu.Unlock()
+	_ = client.Close() // it may be closed already
+}
+
+// Serve answers calls on a listener with server until Close.
+func (c *Connector) Serve(listener net.Listener, server *rpc.Server) error {
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			c.mu.Lock()
+			closed := c.closed
+			c.mu.Unlock()
+			if closed || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fault.New("accept peer", KindUnreachable, err)
+		}
+		if !c.track(raw) {
+			_ = raw.Close() // the connector is closed
+			return nil
+		}
+		c.served.Go(func() { c.serveConn(raw, server) })
+	}
+}
+
+func (c *Connector) track(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	if c.conns == nil {
+		c.conns = map[net.Conn]struct{}{}
+	}
+	c.conns[conn] = struct{}{}
+	return true
+}
+
+func (c *Connector) serveConn(raw net.Conn, server *rpc.Server) {
+	defer func() {
+		_ = raw.Close() // it may be closed already
+		c.mu.Lock()
+		delete(c.conns, raw)
+		c.mu.Unlock()
+	}()
+	var conn net.Conn = &countingConn{Conn: raw, traffic: &c.Traffic}
+	if c.ServerTLS != nil {
+		conn = tls.Server(conn, c.ServerTLS)
+	}
+	if err := prove(conn, c.Key, roleServer); err != nil {
+		return
+	}
+	server.ServeCodec(newServerCodec(conn))
+}
+
+// Close ends all connections and waits until none is served.
+func (c *Connector) Close() {
+	c.mu.Lock()
+	c.closed = true
+	for _, client := range c.clients {
+		_ = client.Close() // it may be closed already
+	}
+	c.clients = nil
+	for conn := range c.conns {
+		_ = conn.Close() // it may be closed already
+	}
+	c.mu.Unlock()
+	c.served.Wait()
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.In.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/link/exchanger/exchanger.go
@@ -0,0 +1,381 @@
+// Package exchanger passes news between instances over net/rpc.
+//
+// Each instance pulls from some peers in every round: what changed in their tables
+// since it last asked. All tables merge in any order and any number of times, so a
+// lost, late or repeated message does no harm. An instance with urgent news nudges
+// its peers to pull at once.
+package exchanger
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/claim"
+	"example.com/dotterelwell/internal/link/chronicler"
+	"example.com/dotterelwell/internal/link/connector"
+	"example.com/dotterelwell/internal/link/enroller"
+	"example.com/dotterelwell/internal/link/spreader"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/fault"
+	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/internal/request/biller"
+	"example.com/dotterelwell/internal/request/claimer"
+	"example.com/dotterelwell/internal/version/tallier"
+	"example.com/dotterelwell/internal/zone/keeper"
+	"example.com/dotterelwell/internal/zone/warmer"
+)
+
+// Kind classifies the package's errors.
+type Kind string
+
+// KindUnknownPeer means that the platform lists no such instance.
+const KindUnknownPeer Kind = "unknown-peer"
+
+// Error is the package's error type.
+type Error = fault.Error[Kind]
+
+const (
+	// callTimeout bounds a pull.
+	callTimeout = 1 * clock.Second
+	// roundEvery is the time between two rounds.
+	roundEvery clock.Millis = 500
+	// allPeers is the number of peers up to which a round pulls from every one.
+	allPeers = 8
+	// fanOut is the number of peers of a round when there are more.
+	fanOut = 3
+	// nudgeFanOut bounds the peers of a nudge outside the own region.
+	nudgeFanOut = 8
+	// maxFacts and maxTallies bound one answer.
+	maxFacts   = 1024
+	maxTallies = 256
+	// usageAge is how long a peer's statement of usage counts.
+	usageAge = 60 * clock.Second
+)
+
+// Exchanger passes news. Set the exported fields before use.
+type Exchanger struct {
+	Clock       *clock.Clock
+	Instance    ident.Instance
+	Incarnation ident.Incarnation
+	Connector   *connector.Connector
+	Enroller    *enroller.Enroller
+	Keeper      *keeper.Keeper
+	Chronicler  *chronicler.Chronicler
+	Tallier     *tallier.Tallier
+	// OnWarmth, OnBlock receive news from peers.
+	OnWarmth func(warmer.News)
+	OnBlock  func(declaration.Ref, Block)
+	// ClaimFunc and HoldFunc serve the peers' calls.
+	ClaimFunc func(ctx context.Context, shard int, entries []claim.Entry) ([]claimer.Verdict, error)
+	HoldFunc  func(biller.Batch) error
+	// StatusFunc describes this instance.
+	StatusFunc func() Status
+
+	Warmth   spreader.Spreader[ident.Server, warmer.News]
+	Usage    spreader.Spreader[UsageKey, Usage]
+	Blocks   spreader.Spreader[declaration.Ref, Block]
+	Presence spreader.Spreader[ident.Instance, enroller.Presence]
+
+	mu       sync.Mutex
+	cursors  map[ident.Instance]Cursor
+	usedAt   map[UsageKey]clock.Millis
+	pulling  map[ident.Instance]bool
+	again    map[ident.Instance]bool
+	spokenAt clock.Millis
+	spoken   clock.Millis
+}
+
+// Open prepares the tables. It must be called before any other method.
+func (x *Exchanger) Open() {
+	x.Warmth.NewerFunc = func(held, next warmer.News) bool {
+		return next.Epoch > held.Epoch || next.Epoch == held.Epoch && next.Warm && !held.Warm
+	}
+	x.Usage.NewerFunc = func(held, next Usage) bool { return next.At > held.At }
+	x.Blocks.NewerFunc = func(held, next Block) bool { return next.At > held.At }
+	x.Presence.NewerFunc = enroller.Newer
+	x.cursors = map[ident.Instance]Cursor{}
+	x.usedAt = map[UsageKey]clock.Millis{}
+	x.pulling = map[ident.Instance]bool{}
+	x.again = map[ident.Instance]bool{}
+}
+
+func (x *Exchanger) sender() Sender {
+	return Sender{Instance: x.Instance, Incarnation: x.Incarnation, Stamp: x.Chronicler.Now()}
+}
+
+func (x *Exchanger) hear(s Sender) {
+	x.Chronicler.Hear(s.Stamp)
+	x.Enroller.Heard(s.Instance, s.Incarnation)
+}
+
+// Serve answers peers on a listener until the connector is closed.
+func (x *Exchanger) Serve(listener net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &Service{exchanger: x}); err != nil {
+		return err
+	}
+	return x.Connector.Serve(listener, server)
+}
+
+// Run makes rounds until ctx ends.
+func (x *Exchanger) Run(ctx context.Context) error {
+	for {
+		x.announce()
+		x.Round(ctx)
+		jitter := clock.Millis(rand.Int64N(int64(roundEvery) / 5))
+		if err := x.Clock.Sleep(ctx, roundEvery+jitter); err != nil {
+			return nil
+		}
+	}
+}
+
+// announce tells of this process's presence when it is time.
+func (x *Exchanger) announce() {
+	now := x.Clock.Now()
+	if now-x.spokenAt < x.Enroller.PresenceEvery() {
+		return
+	}
+	x.spokenAt = now
+	x.Presence.Merge(x.Instance, enroller.Presence{Incarnation: x.Incarnation, At: now})
+}
+
+// Round pulls from the peers of one round and waits for them.
+func (x *Exchanger) Round(ctx context.Context) {
+	var pulls sync.WaitGroup
+	for _, p := range x.pick(x.Enroller.Peers(), fanOut) {
+		pulls.Go(func() { x.Pull(ctx, p) })
+	}
+	pulls.Wait()
+}
+
+// pick returns all peers when they are few and a random choice of n otherwise.
+func (x *Exchanger) pick(peers []enroller.Peer, n int) []enroller.Peer {
+	if len(peers) <= allPeers {
+		return peers
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:n]
+}
+
+// Pull asks one peer for news and merges the answer. A call while a pull from the
+// same peer is under way makes that one repeat.
+func (x *Exchanger) Pull(ctx context.Context, p enroller.Peer) {
+	x.mu.Lock()
+	if x.pulling[p.Instance] {
+		x.again[p.Instance] = true
+		x.mu.Unlock()
+		return
+	}
+	x.pulling[p.Instance] = true
+	x.mu.Unlock()
+	for {
+		x.pullOnce(ctx, p)
+		x.mu.Lock()
+		if !x.again[p.Instance] || ctx.Err() != nil {
+			delete(x.pulling, p.Instance)
+			delete(x.again, p.Instance)
+			x.mu.Unlock()
+			return
+		}
+		delete(x.again, p.Instance)
+		x.mu.Unlock()
+	}
+}
+
+func (x *Exchanger) pullOnce(ctx context.Context, p enroller.Peer) {
+	x.mu.Lock()
+	cursor := x.cursors[p.Instance]
+	x.mu.Unlock()
+	args := Pull{From: x.sender(), Cursor: cursor, Config: x.Keeper.Complete()}
+	var news News
+	if err := x.call(ctx, p.Address, "Pull", args, &news); err != nil {
+		return // the next round tries again
+	}
+	x.hear(news.From)
+	x.merge(news)
+	x.mu.Lock()
+	x.cursors[p.Instance] = news.Cursor
+	x.mu.Unlock()
+}
+
+func (x *Exchanger) merge(news News) {
+	if news.Config.Version > 0 {
+		x.Keeper.Apply(news.Config)
+	}
+	for _, f := range news.Presence {
+		if f.Key != x.Instance && x.Presence.Merge(f.Key, f.Value) {
+			x.Enroller.Told(f.Key, f.Value)
+		}
+	}
+	for _, f := range news.Usage {
+		x.mergeUsage(f)
+	}
+	for _, f := range news.Warmth {
+		if x.Warmth.Merge(f.Key, f.Value) && x.OnWarmth != nil {
+			x.OnWarmth(f.Value)
+		}
+	}
+	for _, f := range news.Blocks {
+		if x.Blocks.Merge(f.Key, f.Value) && x.OnBlock != nil {
+			x.OnBlock(f.Key, f.Value)
+		}
+	}
+	for _, e := range news.Tallies {
+		x.Tallier.Merge(e)
+	}
+}
+
+func (x *Exchanger) mergeUsage(f spreader.Fact[UsageKey, Usage]) {
+	if f.Key.Instance == x.Instance || !x.Usage.Merge(f.Key, f.Value) {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.usedAt[f.Key] = x.Clock.Now()
+}
+
+// TellUsage states this instance's requests at a cold server.
+func (x *Exchanger) TellUsage(server ident.Server, inFlight int) {
+	key := UsageKey{Server: server, Instance: x.Instance}
+	held, found := x.Usage.Get(key)
+	if found && held.InFlight == inFlight && inFlight == 0 || !found && inFlight == 0 {
+		return
+	}
+	x.Usage.Merge(key, Usage{InFlight: inFlight, At: x.Clock.Now()})
+}
+
+// Others returns the requests that other instances state to have at a server.
+func (x *Exchanger) Others(server ident.Server) int {
+	total := 0
+	now := x.Clock.Now()
+	x.Usage.Each(func(key UsageKey, u Usage) {
+		if key.Server != server || key.Instance == x.Instance || u.InFlight == 0 {
+			return
+		}
+		x.mu.Lock()
+		fresh := now-x.usedAt[key] < usageAge
+		x.mu.Unlock()
+		if fresh {
+			total += u.InFlight
+		}
+	})
+	return total
+}
+
+// Nudge asks peers to pull from this instance at once: all of them when they are
+// few, and otherwise those of the own region and some others.
+func (x *Exchanger) Nudge(ctx context.Context) {
+	peers := x.Enroller.Peers()
+	if len(peers) > allPeers {
+		peers = x.nudged(peers)
+	}
+	for _, p := range peers {
+		go func() {
+			_ = x.call(ctx, p.Address, "Nudge", x.sender(), &struct{}{}) // the next round brings the news too
+		}()
+	}
+}
+
+func (x *Exchanger) nudged(peers []enroller.Peer) []enroller.Peer {
+	var own, others []enroller.Peer
+	for _, p := range peers {
+		if p.Zone == x.Enroller.Zone {
+			own = append(own, p)
+			continue
+		}
+		others = append(others, p)
+	}
+	return append(own, x.pick(others, min(nudgeFanOut, len(others)))...)
+}
+
+// Forward hands claims to a shard's holder.
+func (x *Exchanger) Forward(ctx context.Context, holder ident.Instance, shard int, entries []claim.Entry) ([]claimer.Verdict, error) {
+	p, found := x.Enroller.Peer(holder)
+	if !found {
+		return nil, fault.Newf("forward claims", KindUnknownPeer, "%s is not listed", holder)
+	}
+	var reply ClaimReply
+	if err := x.Connector.Call(ctx, p.Address, serviceName+".Claim", ClaimArgs{From: x.sender(), Shard: shard, Entries: entries}, &reply); err != nil {
+		return nil, err
+	}
+	x.hear(reply.From)
+	return reply.Verdicts, nil
+}
+
+// Hold asks a peer to hold bill records.
+func (x *Exchanger) Hold(ctx context.Context, holder ident.Instance, b biller.Batch) error {
+	p, found := x.Enroller.Peer(holder)
+	if !found {
+		return fault.Newf("hold bills", KindUnknownPeer, "%s is not listed", holder)
+	}
+	var from Sender
+	if err := x.call(ctx, p.Address, "Hold", HoldArgs{From: x.sender(), Batch: b}, &from); err != nil {
+		return err
+	}
+	x.hear(from)
+	return nil
+}
+
+// Events returns the events of this instance and of every peer that answers, in
+// causal order, and the peers that did not answer.
+func (x *Exchanger) Events(ctx context.Context, f chronicler.Filter) ([]chronicler.Event, []ident.Instance) {
+	peers := x.Enroller.Peers()
+	lists := make([][]chronicler.Event, len(peers)+1)
+	silent := x.ask(peers, func(i int, p enroller.Peer) error {
+		var reply EventsReply
+		err := x.call(ctx, p.Address, "Events", EventsArgs{From: x.sender(), Filter: f}, &reply)
+		lists[i] = reply.Events
+		return err
+	})
+	lists[len(peers)] = x.Chronicler.Events(f)
+	return chronicler.Merge(lists...), silent
+}
+
+// Statuses returns the status of this instance and of every peer that answers, and
+// the peers that did not answer.
+func (x *Exchanger) Statuses(ctx context.Context) ([]Status, []ident.Instance) {
+	peers := x.Enroller.Peers()
+	replies := make([]*StatusReply, len(peers))
+	silent := x.ask(peers, func(i int, p enroller.Peer) error {
+		var reply StatusReply
+		err := x.call(ctx, p.Address, "Status", x.sender(), &reply)
+		if err == nil {
+			replies[i] = &reply
+		}
+		return err
+	})
+	statuses := []Status{x.StatusFunc()}
+	for _, r := range replies {
+		if r != nil {
+			statuses = append(statuses, r.Status)
+		}
+	}
+	return statuses, silent
+}
+
+// ask calls f for every peer at once and returns the peers for which it failed.
+func (x *Exchanger) ask(peers []enroller.Peer, f func(i int, p enroller.Peer) error) []ident.Instance {
+	failed := make([]bool, len(peers))
+	var calls sync.WaitGroup
+	for i, p := range peers {
+		calls.Go(func() { failed[i] = f(i, p) != nil })
+	}
+	calls.Wait()
+	var silent []ident.Instance
+	for i, p := range peers {
+		if failed[i] {
+			silent = append(silent, p.Instance)
+		}
+	}
+	return silent
+}
+
+func (x *Exchanger) call(ctx context.Context, address ident.Address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	return x.Connector.Call(ctx, address, serviceName+"."+method, args, reply)
+}
--- /dev/null
+++ b/internal/link/exchanger/service.go
@@ -0,0 +1,111 @@
+package exchanger
+
+import (
+	"context"
+
+	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/link/spreader"
+	"example.com/dotterelwell/internal/machine/clock"
+)
+
+// serviceName is the name of the peers' service in net/rpc.
+const serviceName = "peer"
+
+const (
+	// serveTimeout bounds the work that a peer's call causes here.
+	serveTimeout = 3 * clock.Second
+	// maxConfigBytes bounds the configuration in one answer.
+	maxConfigBytes = 1 << 20
+)
+
+// Service holds the methods that peers call. Its methods have the form of net/rpc.
+type Service struct{ exchanger *Exchanger }
+
+// Pull answers with what changed since the caller's cursor.
+func (s *Service) Pull(args Pull, reply *News) error {
+	x := s.exchanger
+	x.hear(args.From)
+	cursor := args.Cursor
+	if cursor.Of != x.Incarnation {
+		cursor = Cursor{Of: x.Incarnation}
+	}
+	reply.From = x.sender()
+	reply.Config = boundConfig(x.Keeper.Since(args.Config))
+	var at spreader.Serial
+	reply.Warmth, at = x.Warmth.Since(spreader.Serial(cursor.Warmth), maxFacts)
+	cursor.Warmth = uint64(at)
+	reply.Usage, at = x.Usage.Since(spreader.Serial(cursor.Usage), maxFacts)
+	cursor.Usage = uint64(at)
+	reply.Blocks, at = x.Blocks.Since(spreader.Serial(cursor.Blocks), maxFacts)
+	cursor.Blocks = uint64(at)
+	reply.Presence, at = x.Presence.Since(spreader.Serial(cursor.Presence), maxFacts)
+	cursor.Presence = uint64(at)
+	reply.Tallies, cursor.Tally = x.Tallier.Since(cursor.Tally, maxTallies)
+	reply.Cursor = cursor
+	if args.Config > x.Keeper.Complete() {
+		s.pullBack(args.From)
+	}
+	return nil
+}
+
+// boundConfig cuts changes to a bounded size, with the version that is then complete.
+func boundConfig(c storer.Changes) storer.Changes {
+	size := 0
+	for i, o := range c.Objects {
+		size += len(o.Value) + len(o.Name)
+		if size > maxConfigBytes && i > 0 {
+			return storer.Changes{Version: c.Objects[i-1].Version, Objects: c.Objects[:i]}
+		}
+	}
+	return c
+}
+
+// pullBack asks the caller for its news, which is ahead of this instance's.
+func (s *Service) pullBack(from Sender) {
+	p, found := s.exchanger.Enroller.Peer(from.Instance)
+	if !found {
+		return
+	}
+	go s.exchanger.Pull(context.Background(), p)
+}
+
+// Nudge makes this instance pull from the caller.
+func (s *Service) Nudge(args Sender, _ *struct{}) error {
+	s.exchanger.hear(args)
+	s.pullBack(args)
+	return nil
+}
+
+// Claim writes entries that the caller forwards.
+func (s *Service) Claim(args ClaimArgs, reply *ClaimReply) error {
+	s.exchanger.hear(args.From)
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout.Duration())
+	defer cancel()
+	verdicts, err := s.exchanger.ClaimFunc(ctx, args.Shard, args.Entries)
+	reply.From = s.exchanger.sender()
+	reply.Verdicts = verdicts
+	return err
+}
+
+// Hold keeps bill records for the caller.
+func (s *Service) Hold(args HoldArgs, reply *Sender) error {
+	s.exchanger.hear(args.From)
+	*reply = s.exchanger.sender()
+	return s.exchanger.HoldFunc(args.Batch)
+}
+
+// Events returns this instance's events.
+func (s *Service) Events(args EventsArgs, reply *EventsReply) error {
+	s.exchanger.hear(args.From)
+	reply.From = s.exchanger.sender()
+	reply.Events = s.exchanger.Chronicler.Events(args.Filter)
+	return nil
+}
+
+// Status returns this instance's status.
+func (s *Service) Status(args Sender, reply *StatusReply) error {
+	s.exchanger.hear(args)
+	reply.From = s.exchanger.sender()
+	reply.Status = s.exchanger.StatusFunc()
+	return nil
+}
--- /dev/null
+++ b/internal/link/hasher/hasher.go
@@ -0,0 +1,49 @@
+// Package hasher chooses members of a set by rendezvous hashing, so that a change
+// of the set moves only the choices that it must.
+package hasher
+
+import "github.com/cespare/xxhash/v2"
+
+// Hasher scores pairs of an item and a member. Its zero value is ready.
+type Hasher struct {
+	// Salt makes independent choices for independent purposes.
+	Salt string
+}
+
+// Score returns the weight of member for item.
+func (h Hasher) Score(item, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(h.Salt) // a digest never fails to take bytes
+	_, _ = d.WriteString("\x00" + item + "\x00")
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
+
+// Best returns the member with the highest weight for item, or "" for an empty set.
+func (h Hasher) Best(item string, members []string) string {
+	best, bestScore := "", uint64(0)
+	for _, m := range members {
+		score := h.Score(item, m)
+		if best == "" || score > bestScore || score == bestScore && m < best {
+			best, bestScore = m, score
+		}
+	}
+	return best
+}
+
+// Among reports whether member is one of the n members with the highest weights for item.
+func (h Hasher) Among(item, member string, members []string, n int) bool {
+	own := h.Score(item, member)
+	higher := 0
+	for _, m := range members {
+		if m == member {
+			continue
+		}
+		score := h.Score(item, m)
+		if score > own || score == own && m < member {
+			higher++
+		}
+	}
+	return higher < n
+}
--- /dev/null
+++ b/internal/machine/assembler/wire.go
@@ -0,0 +1,305 @@
+package assembler
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+
+	"k8s.io/klog/v2"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/bill"
+	"example.com/dotterelwell/internal/contract/chat"
+	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/link/chronicler"
+	"example.com/dotterelwell/internal/link/connector"
+	"example.com/dotterelwell/internal/link/enroller"
+	"example.com/dotterelwell/internal/link/exchanger"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/fault"
+	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/internal/machine/registrar"
+	"example.com/dotterelwell/internal/request/admitter"
+	"example.com/dotterelwell/internal/request/biller"
+	"example.com/dotterelwell/internal/request/billholder"
+	"example.com/dotterelwell/internal/request/claimer"
+	"example.com/dotterelwell/internal/request/conductor"
+	"example.com/dotterelwell/internal/request/dispatcher"
+	"example.com/dotterelwell/internal/request/handler"
+	"example.com/dotterelwell/internal/request/pacer"
+	"example.com/dotterelwell/internal/request/relayer"
+	"example.com/dotterelwell/internal/request/retrier"
+	"example.com/dotterelwell/internal/version/chooser"
+	"example.com/dotterelwell/internal/version/estimator"
+	"example.com/dotterelwell/internal/version/judge"
+	"example.com/dotterelwell/internal/version/roller"
+	"example.com/dotterelwell/internal/version/signer"
+	"example.com/dotterelwell/internal/version/tallier"
+	"example.com/dotterelwell/internal/zone/keeper"
+	"example.com/dotterelwell/internal/zone/warmer"
+	"example.com/dotterelwell/internal/zone/watcher"
+)
+
+// configWatchers is the number of instances of a zone that watch the store.
+const configWatchers = 2
+
+// wireLinks builds what connects the instance to its peers.
+func (n *Node) wireLinks() error {
+	n.Connector = &connector.Connector{}
+	if err := n.loadKeys(); err != nil {
+		return err
+	}
+	n.Enroller = &enroller.Enroller{
+		Clock: n.Clock, Instance: n.Settings.Instance, Incarnation: n.Incarnation, Zone: n.Settings.Zone,
+		OnPaused: n.paused,
+	}
+	n.Keeper = &keeper.Keeper{Clock: n.Clock, OnRejected: n.rejected, OnApplied: n.applied}
+	n.Tallier = &tallier.Tallier{Clock: n.Clock, Owner: n.Incarnation}
+	n.Exchanger = &exchanger.Exchanger{
+		Clock: n.Clock, Instance: n.Settings.Instance, Incarnation: n.Incarnation,
+		Connector: n.Connector, Enroller: n.Enroller, Keeper: n.Keeper, Chronicler: n.Chronicler, Tallier: n.Tallier,
+		StatusFunc: n.Status,
+	}
+	n.Exchanger.Open()
+	return nil
+}
+
+func (n *Node) loadKeys() error {
+	const op = "load keys"
+	k := n.Settings.Keys
+	if k.PeerKeyFile != "" {
+		raw, err := os.ReadFile(k.PeerKeyFile)
+		if err != nil {
+			return fault.New(op, KindKeys, err)
+		}
+		n.Connector.Key = bytes.TrimSpace(raw)
+	}
+	if k.CAFile == "" {
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(k.CertFile, k.KeyFile)
+	if err != nil {
+		return fault.New(op, KindKeys, err)
+	}
+	raw, err := os.ReadFile(k.CAFile)
+	if err != nil {
+		return fault.New(op, KindKeys, err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(raw) {
+		return fault.Newf(op, KindKeys, "%s holds no certificate", k.CAFile)
+	}
+	n.Connector.ServerTLS = &tls.Config{
+		Certificates: []tls.Certificate{cert}, ClientCAs: roots,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+	n.Connector.ClientTLS = peerTLS(cert, roots)
+	return nil
+}
+
+// peerTLS returns the client side of the peers' TLS. Peers are reached by IP address
+// and listed by the platform, so a certificate is checked against the authority and
+// not against a host name.
+func peerTLS(cert tls.Certificate, roots *x509.CertPool) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13,
+		InsecureSkipVerify: true, // VerifyConnection checks the chain
+		VerifyConnection: func(state tls.ConnectionState) error {
+			between := x509.NewCertPool()
+			for _, c := range state.PeerCertificates[1:] {
+				between.AddCert(c)
+			}
+			_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: roots, Intermediates: between})
+			return err
+		},
+	}
+}
+
+// wireFleet builds what the instances decide together: configuration and warmth.
+func (n *Node) wireFleet() {
+	n.Watcher = &watcher.Watcher{
+		Clock: n.Clock, Store: n.outside.Store, Keeper: n.Keeper,
+		DutyFunc: func() bool { return n.Enroller.Among("watch-config", configWatchers) },
+		OnAnswer: n.storeAnswered,
+	}
+	n.Warmer = &warmer.Warmer{
+		Clock: n.Clock, Settle: n.Settings.Limits.Settle,
+		DutyFunc:   n.warmingDuty,
+		OthersFunc: n.Exchanger.Others,
+		OnNews:     n.foundWarmth,
+		OnMerged:   n.warmthChanged,
+	}
+	n.Exchanger.OnWarmth = func(news warmer.News) { n.Warmer.Merge(news) }
+	n.Admitter = &admitter.Admitter{Clock: n.Clock, QueueLimit: n.Settings.Limits.Queue}
+	n.Registrar = &registrar.Registrar{
+		Clock: n.Clock, Zone: n.Settings.Zone, Region: n.Settings.Region, Instance: n.Settings.Instance,
+		SubsetSize: n.Settings.Limits.Subset, Warmer: n.Warmer, ViewFunc: n.Keeper.View, OnFreed: n.Admitter.Wake,
+	}
+	n.outside.Inferrer.OnLoad = func(address ident.Address, load chat.Load) {
+		n.Registrar.Report(address, load, n.Registrar.Epoch(address))
+	}
+	n.outside.Inferrer.OnDropped = func(ident.Address, ident.Request) { n.Meter.DroppedFrames.Inc() }
+}
+
+func (n *Node) warmingDuty(server ident.Server) warmer.Duty {
+	held, since := n.Enroller.Guarded("warm/" + string(server))
+	return warmer.Duty{Held: held, Since: since}
+}
+
+// foundWarmth spreads a change that this instance found itself.
+func (n *Node) foundWarmth(news warmer.News) {
+	n.Exchanger.Warmth.Merge(news.Server, news)
+	n.nudge()
+}
+
+func (n *Node) warmthChanged(news warmer.News) {
+	kind := chronicler.KindServerCold
+	if news.Warm {
+		kind = chronicler.KindServerWarm
+	}
+	n.Chronicler.Note(kind, "", string(news.Server), fmt.Sprintf("epoch %d", news.Epoch))
+	n.Registrar.WarmthChanged(news.Server, news.Warm)
+}
+
+// nudge tells peers of urgent news in the background.
+func (n *Node) nudge() {
+	n.Pool.Submit(func(ctx context.Context) { n.Exchanger.Nudge(ctx) })
+}
+
+// wireVersions builds what decides between versions.
+func (n *Node) wireVersions() {
+	n.Estimator = &estimator.Estimator{Clock: n.Clock, Tallier: n.Tallier}
+	n.Judge = &judge.Judge{Clock: n.Clock, ViewFunc: n.Keeper.View, Tallier: n.Tallier, OnBad: n.foundBad}
+	n.Exchanger.OnBlock = func(ref declaration.Ref, b exchanger.Block) { n.Judge.Block(ref, b.Reason, b.At) }
+	n.Roller = &roller.Roller{
+		Clock: n.Clock, Store: n.outside.Store, ViewFunc: n.Keeper.View, Judge: n.Judge,
+		VersionFunc: n.progressVersion,
+		DutyFunc: func(model declaration.ModelName) bool {
+			_, own := n.Enroller.Holder("rollout/" + string(model))
+			return own
+		},
+		OnStep: func(model declaration.ModelName, detail string) {
+			n.Chronicler.Note(chronicler.KindRolloutStep, "", string(model), detail)
+			klog.InfoS("Roll-out moved", "model", model, "detail", detail)
+		},
+		OnWritten: func(o storer.Object) { n.Keeper.Apply(storer.Changes{Objects: []storer.Object{o}}) },
+	}
+	n.Chooser = &chooser.Chooser{
+		Clock: n.Clock, ViewFunc: n.Keeper.View, Estimator: n.Estimator,
+		BlockedFunc: n.Judge.Blocked, ServedFunc: n.Registrar.Serves, RatesFunc: n.rates,
+	}
+}
+
+// foundBad spreads and records that this instance found a version bad.
+func (n *Node) foundBad(ref declaration.Ref, reason string) {
+	n.Meter.VersionsBad.Inc()
+	n.Chronicler.Note(chronicler.KindVersionBad, "", ref.String(), reason)
+	klog.InfoS("Version found bad", "version", ref, "reason", reason)
+	n.Exchanger.Blocks.Merge(ref, exchanger.Block{Reason: reason, By: n.Settings.Instance, At: n.Clock.Now()})
+	n.nudge()
+	n.Pool.Submit(func(ctx context.Context) { n.Roller.Withdraw(ctx, ref, reason) })
+}
+
+// wireRequests builds the path of a request.
+func (n *Node) wireRequests() {
+	l := n.Settings.Limits
+	n.Budget = &pacer.Budget{Limit: l.StreamBytes}
+	retries := &retrier.Retrier{}
+	n.wireClaims()
+	n.wireBills()
+	n.Relayer = &relayer.Relayer{
+		Clock: n.Clock, Inferrer: n.outside.Inferrer, Retrier: retries,
+		Gaps:     relayer.Gaps{Header: l.HeaderGap, First: l.FirstTokenGap, Next: l.TokenGap},
+		OnResume: n.resumed,
+	}
+	n.Conductor = &conductor.Conductor{
+		Clock: n.Clock, ViewFunc: n.Keeper.View, Registrar: n.Registrar, Admitter: n.Admitter,
+		Relayer: n.Relayer, Rater: n.outside.Rater, Budget: n.Budget, Chooser: n.Chooser,
+		OnResult: n.learnResult, OnRating: n.learnRating, OnRater: n.raterAnswered,
+		SampleFunc: n.sample,
+		LaterFunc:  func(task func(context.Context)) { n.Pool.Submit(task) },
+		OnDispatch: n.dispatched,
+	}
+	n.Dispatcher = &dispatcher.Dispatcher{
+		Clock: n.Clock, ViewFunc: n.Keeper.View, Registrar: n.Registrar, Admitter: n.Admitter,
+		Forwarder: n.outside.Forwarder, Claimer: n.Claimer, Retrier: retries,
+		LiveFunc: n.Enroller.Alive, OnDispatch: n.dispatchedCall, OnClaim: n.claimDecided,
+	}
+	n.Handler = &handler.Handler{
+		Clock: n.Clock, ViewFunc: n.Keeper.View, Conductor: n.Conductor, Dispatcher: n.Dispatcher,
+		Biller: n.Biller, Signer: &signer.Signer{Clock: n.Clock}, Budget: n.Budget, GateFunc: n.gate,
+		OnBegun: n.begun, OnFinished: n.finished, OnBillAtRisk: n.billAtRisk,
+		BodyBytes: l.BodyBytes, PromptTimeout: l.PromptTimeout, PatientTimeout: l.PatientTimeout,
+		Window: l.WindowBytes, StallLimit: l.StallLimit,
+	}
+}
+
+func (n *Node) wireClaims() {
+	l := n.Settings.Limits
+	n.Claimer = &claimer.Claimer{
+		Clock: n.Clock, Store: n.outside.Store, Pool: n.Pool, Owner: n.Incarnation,
+		Shards: l.ClaimShards, Retention: l.ClaimRetention,
+		WriteEvery: clock.Second * clock.Millis(l.ClaimShards) / clock.Millis(n.Settings.Platform.WriteBudget),
+		HolderFunc: func(shard int) (ident.Instance, bool) {
+			return n.Enroller.Holder(fmt.Sprintf("claim/%d", shard))
+		},
+		ForwardFunc: n.Exchanger.Forward,
+	}
+	n.Claimer.Open()
+	n.Exchanger.ClaimFunc = n.Claimer.Serve
+}
+
+func (n *Node) wireBills() {
+	n.Biller = &biller.Biller{
+		Clock: n.Clock, Store: n.outside.Store, Owner: n.Incarnation, BacklogLimit: n.Settings.Limits.BillBytes,
+		IntervalFunc: n.billInterval,
+		HolderFunc:   n.billPeer,
+		HoldFunc:     n.Exchanger.Hold,
+		OnWritten: func(records int) {
+			n.Meter.BillsWritten.Add(float64(records))
+			n.Chronicler.Note(chronicler.KindBillsWritten, "", "", fmt.Sprintf("%d records", records))
+		},
+	}
+	n.Billholder = &billholder.Holder{Store: n.outside.Store}
+	n.Exchanger.HoldFunc = n.Billholder.Hold
+}
+
+// billInterval spaces segments so that the whole fleet keeps to its write budget.
+func (n *Node) billInterval() clock.Millis {
+	return clock.Second * clock.Millis(len(n.Enroller.Live())) / clock.Millis(n.Settings.Platform.BillBudget)
+}
+
+// billPeer returns the peer that holds this instance's bills: one of another zone
+// when there is one, and one that has answered lately.
+func (n *Node) billPeer() ident.Instance {
+	var near, far []string
+	for _, p := range n.Enroller.Peers() {
+		if p.Leaving || !n.Enroller.Answers(p.Instance) {
+			continue
+		}
+		if p.Zone == n.Settings.Zone {
+			near = append(near, string(p.Instance))
+			continue
+		}
+		far = append(far, string(p.Instance))
+	}
+	if len(far) == 0 {
+		far = near
+	}
+	return ident.Instance(billHash.Best(string(n.Settings.Instance), far))
+}
+
+func (n *Node) billAtRisk(r bill.Record) {
+	n.Meter.BillsAtRisk.Inc()
+	n.Chronicler.Note(chronicler.KindBillAtRisk, r.Request, string(r.ID), "")
+}
+
+func (n *Node) paused(gap clock.Millis) {
+	n.Meter.Pauses.Inc()
+	n.Chronicler.Note(chronicler.KindPaused, "", "", fmt.Sprintf("%d ms", gap))
+	klog.InfoS("Process was paused", "gap-ms", int64(gap))
+}
+
--- /dev/null
+++ b/internal/machine/registrar/table.go
@@ -0,0 +1,170 @@
+package registrar
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/lister"
+	"example.com/dotterelwell/internal/link/hasher"
+	"example.com/dotterelwell/internal/machine/ident"
+)
+
+var (
+	affinityHash = hasher.Hasher{Salt: "prefix"}
+	subsetHash   = hasher.Hasher{Salt: "subset"}
+)
+
+// Apply takes in changes of the instance list.
+func (r *Registrar) Apply(instances []lister.Instance) {
+	r.mu.Lock()
+	if r.servers == nil {
+		r.servers = map[ident.Server]*server{}
+	}
+	for _, i := range instances {
+		if i.Role == lister.RoleEntry {
+			continue
+		}
+		r.applyInstance(i)
+	}
+	r.index()
+	r.mu.Unlock()
+	if r.OnFreed != nil {
+		r.OnFreed()
+	}
+}
+
+func (r *Registrar) applyInstance(i lister.Instance) {
+	id := ident.Server(i.ID)
+	if i.State == lister.StateGone {
+		if row := r.servers[id]; row != nil {
+			row.leaving = true
+		}
+		delete(r.servers, id)
+		if r.Warmer != nil {
+			r.Warmer.Forget(id)
+		}
+		return
+	}
+	row := r.servers[id]
+	if row == nil || row.info.Address != i.Address {
+		row = &server{id: id}
+		row.limits.Restart(1)
+		r.servers[id] = row
+	}
+	row.info = i
+	row.leaving = i.State == lister.StateLeaving
+}
+
+// index rebuilds the lists by version, service and address.
+func (r *Registrar) index() {
+	r.byAddress = map[ident.Address]*server{}
+	r.byVersion = map[declaration.Ref][]*server{}
+	r.byService = map[declaration.ServiceName][]*server{}
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
+		s := r.servers[id]
+		r.byAddress[s.info.Address] = s
+		for _, ref := range s.info.Versions {
+			r.byVersion[ref] = append(r.byVersion[ref], s)
+		}
+		if s.info.Service != "" {
+			r.byService[s.info.Service] = append(r.byService[s.info.Service], s)
+		}
+	}
+	for ref, rows := range r.byVersion {
+		r.byVersion[ref] = r.subset(r.regional(rows))
+	}
+	for name, rows := range r.byService {
+		r.byService[name] = r.subset(r.regional(rows))
+	}
+}
+
+// regional keeps the servers of the own region when there are any.
+func (r *Registrar) regional(rows []*server) []*server {
+	var own []*server
+	for _, s := range rows {
+		if s.info.Region == r.Region {
+			own = append(own, s)
+		}
+	}
+	if len(own) == 0 {
+		return rows
+	}
+	return own
+}
+
+// subset keeps the servers that this instance uses when there are many.
+func (r *Registrar) subset(rows []*server) []*server {
+	if r.SubsetSize <= 0 || len(rows) <= r.SubsetSize {
+		return rows
+	}
+	sorted := slices.Clone(rows)
+	slices.SortFunc(sorted, func(a, b *server) int {
+		return cmp.Compare(r.weight(b), r.weight(a))
+	})
+	return sorted[:r.SubsetSize]
+}
+
+func (r *Registrar) weight(s *server) uint64 {
+	return subsetHash.Score(string(r.Instance), string(s.id))
+}
+
+// Row is a copy of what the table holds of a server.
+type Row struct {
+	Server   ident.Server             `json:"server"`
+	Zone     declaration.ZoneName     `json:"zone"`
+	Address  ident.Address            `json:"address"`
+	Versions []declaration.Ref        `json:"versions,omitempty"`
+	Service  declaration.ServiceName  `json:"service,omitempty"`
+	Leaving  bool                     `json:"leaving"`
+	Warm     bool                     `json:"warm"`
+	Epoch    uint64                   `json:"epoch"`
+	InFlight int                      `json:"in-flight"`
+	Limit    int                      `json:"limit"`
+	Load     float64                  `json:"load"`
+}
+
+// Rows returns the table sorted by server.
+func (r *Registrar) Rows() []Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	rows := make([]Row, 0, len(r.servers))
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
+		s := r.servers[id]
+		rows = append(rows, Row{
+			Server: id, Zone: s.info.Zone, Address: s.info.Address,
+			Versions: s.info.Versions, Service: s.info.Service, Leaving: s.leaving,
+			Warm: r.Warmer == nil || r.Warmer.Warm(id), Epoch: r.epoch(s),
+			InFlight: s.inFlight, Limit: s.limits.Limit(), Load: s.load(now),
+		})
+	}
+	return rows
+}
+
+// ColdInFlight returns this instance's requests at each cold server.
+func (r *Registrar) ColdInFlight() map[ident.Server]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cold := map[ident.Server]int{}
+	for id, s := range r.servers {
+		if r.Warmer != nil && !r.Warmer.Warm(id) {
+			cold[id] = s.inFlight
+		}
+	}
+	return cold
+}
+
+// Serves reports whether a server in service has the version.
+func (r *Registrar) Serves(ref declaration.Ref) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	view := r.ViewFunc()
+	for _, s := range r.byVersion[ref] {
+		if !s.leaving && !view.ZoneOut(s.info.Zone) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/version/chooser/policy.go
@@ -0,0 +1,178 @@
+package chooser
+
+import (
+	"cmp"
+	"slices"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/machine/clock"
+)
+
+// minLater is the least probability of success for which an escalation is worth its cost.
+const minLater = 0.08
+
+// streamed returns the cheapest version whose lower bound meets the target, or the
+// one with the highest expected rating when none does.
+func streamed(target declaration.Quality, list []candidate) *candidate {
+	var cheapest *candidate
+	best := &list[0]
+	for i := range list {
+		c := &list[i]
+		if c.estimate.Low >= float64(target) && (cheapest == nil || c.cost < cheapest.cost) {
+			cheapest = c
+		}
+		if c.estimate.Mean > best.estimate.Mean {
+			best = c
+		}
+	}
+	if cheapest != nil {
+		return cheapest
+	}
+	return best
+}
+
+// cascaded returns the version to try first so that the whole cascade is expected
+// to cost least. After the first try the rest is tried in the order of cost over
+// probability of success, which is the cheapest order of independent tries.
+func cascaded(list []candidate) *candidate {
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Compare(a.cost*b.later, b.cost*a.later)
+	})
+	best, bestCost := &list[0], 0.0
+	for i := range list {
+		total := list[i].cost + (1-list[i].first)*restCost(list, i)
+		if i == 0 || total < bestCost {
+			best, bestCost = &list[i], total
+		}
+	}
+	return best
+}
+
+// restCost returns the expected cost of trying all versions but skip in order until
+// one meets the target.
+func restCost(list []candidate, skip int) float64 {
+	cost, reach := 0.0, 1.0
+	for i := range list {
+		if i == skip || list[i].later < minLater {
+			continue
+		}
+		cost += reach * list[i].cost
+		reach *= 1 - list[i].later
+	}
+	return cost
+}
+
+// surest returns the version that is most likely to meet the target at once.
+func surest(list []candidate) *candidate {
+	best := &list[0]
+	for i := range list {
+		if list[i].first > best.first {
+			best = &list[i]
+		}
+	}
+	return best
+}
+
+// hasTimeFor reports whether a poor answer of first still leaves time for another.
+func (c *Chooser) hasTimeFor(q *Question, first, second *candidate) bool {
+	if q.Deadline == 0 {
+		return true
+	}
+	need := clock.Millis(first.estimate.Took + second.estimate.Took)
+	return c.Clock.Now()+need <= q.Deadline
+}
+
+// exploring returns, for the route's share of requests, a cheaper version than best
+// that may meet the target but has too few ratings to tell.
+func (c *Chooser) exploring(q *Question, list []candidate, best *candidate) *candidate {
+	if q.Route.Explore <= 0 || c.random()*100 >= float64(q.Route.Explore) {
+		return best
+	}
+	target := float64(q.Route.Quality)
+	pick := best
+	for i := range list {
+		e := list[i].estimate
+		if list[i].cost < best.cost && e.High >= target && (pick == best || e.Samples < pick.estimate.Samples) {
+			pick = &list[i]
+		}
+	}
+	return pick
+}
+
+// Next decides on the last of tries: whether its answer, or an earlier one, is good
+// enough, and otherwise which version to try.
+func (c *Chooser) Next(q *Question, tries []Try) (accept bool, next declaration.Ref) {
+	last := tries[len(tries)-1]
+	if q.Pinned.Model != "" && last.Version == q.Pinned || last.Rated && last.Rating >= q.Route.Quality {
+		return true, declaration.Ref{}
+	}
+	var list candidates
+	c.gather(c.ViewFunc(), q, tries, &list)
+	if list.n == 0 {
+		return true, declaration.Ref{}
+	}
+	if !last.Rated {
+		return c.nextUnrated(q, last, list.all())
+	}
+	return c.nextRated(q, bestRating(tries), list.all())
+}
+
+// nextUnrated goes by estimates alone while the rating service is down.
+func (c *Chooser) nextUnrated(q *Question, last Try, list []candidate) (bool, declaration.Ref) {
+	view := c.ViewFunc()
+	version := view.VersionOf(last.Version)
+	if version == nil {
+		return true, declaration.Ref{}
+	}
+	held := c.weigh(view, q, version)
+	next := streamed(q.Route.Quality, list)
+	good := held.estimate.Low >= float64(q.Route.Quality)
+	if good || next.estimate.Low <= held.estimate.Low || !c.hasTime(q, next) {
+		return true, declaration.Ref{}
+	}
+	return false, next.version.Ref
+}
+
+func (c *Chooser) nextRated(q *Question, best declaration.Quality, list []candidate) (bool, declaration.Ref) {
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Compare(a.cost*b.later, b.cost*a.later)
+	})
+	for i := range list {
+		promising := list[i].later >= minLater || list[i].estimate.Mean > float64(best)
+		if promising && c.hasTime(q, &list[i]) {
+			return false, list[i].version.Ref
+		}
+	}
+	return true, declaration.Ref{}
+}
+
+func (c *Chooser) hasTime(q *Question, next *candidate) bool {
+	return q.Deadline == 0 || c.Clock.Now()+clock.Millis(next.estimate.Took) <= q.Deadline
+}
+
+func bestRating(tries []Try) declaration.Quality {
+	best := declaration.Quality(0)
+	for _, t := range tries {
+		if t.Rated {
+			best = max(best, t.Rating)
+		}
+	}
+	return best
+}
+
+// Alternative returns another version after the last of tries failed to answer. A
+// session's version is not replaced while it is not withdrawn.
+func (c *Chooser) Alternative(q *Question, tries []Try) (declaration.Ref, bool) {
+	view := c.ViewFunc()
+	if q.Pinned.Model != "" {
+		if _, keep, err := c.pinned(view, q); keep || err != nil {
+			return declaration.Ref{}, false
+		}
+	}
+	var list candidates
+	c.gather(view, q, tries, &list)
+	if list.n == 0 {
+		return declaration.Ref{}, false
+	}
+	return c.start(q, list.all()).version.Ref, true
+}
--- /dev/null
+++ b/internal/version/estimator/estimator.go
@@ -0,0 +1,135 @@
+// Package estimator tells how good, how dear and how quick each version is for each
+// class of requests, and how sure that is.
+package estimator
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/version/tallier"
+)
+
+const (
+	// priorWeight is the number of ratings that the declared quality is worth.
+	priorWeight = 8.0
+	// priorDeviation is the spread of ratings that is expected before any is in.
+	priorDeviation = 0.12
+	// doubt is the number of standard errors between an estimate and its bounds.
+	doubt = 1.64
+	// priorTokens is the number of tokens of a prompt and of an answer before any is counted.
+	priorTokens = 200.0
+	// refreshEvery is the least time between two computations.
+	refreshEvery clock.Millis = 250
+)
+
+// Estimate describes a version in a class.
+type Estimate struct {
+	// Samples is the weighted number of ratings.
+	Samples float64 `json:"samples"`
+	// Answered is the share of tries that gave an answer.
+	Answered float64 `json:"answered"`
+	// Mean is the expected rating, a failed try counting as 0, and Low and High its bounds.
+	Mean float64 `json:"mean"`
+	Low  float64 `json:"low"`
+	High float64 `json:"high"`
+	// Deviation is the spread of single ratings.
+	Deviation float64 `json:"deviation"`
+	// PromptTokens and AnswerTokens are means per answer.
+	PromptTokens float64 `json:"prompt-tokens"`
+	AnswerTokens float64 `json:"answer-tokens"`
+	// Delay is the median time to the first token in milliseconds; 0 when unknown.
+	Delay float64 `json:"delay-ms"`
+	// Took is the mean time of a whole answer in milliseconds; 0 when unknown.
+	Took float64 `json:"took-ms"`
+
+	sum      tallier.Sum
+	declared float64
+}
+
+// Pass returns the probability that an answer is rated at or above target.
+func (e *Estimate) Pass(target declaration.Quality) float64 {
+	prior := normalAbove(e.declared, priorDeviation, float64(target))
+	seen := 0.0
+	if e.Samples > 0 {
+		seen = e.sum.Share(target)
+	}
+	return e.Answered * (prior*priorWeight + seen*e.Samples) / (priorWeight + e.Samples)
+}
+
+// normalAbove returns the probability that a normal variable is at or above x.
+func normalAbove(mean, deviation, x float64) float64 {
+	return 0.5 * math.Erfc((x-mean)/(deviation*math.Sqrt2))
+}
+
+// Cost returns the expected price of an answer.
+func (e *Estimate) Cost(v declaration.Version) float64 {
+	return (e.PromptTokens*float64(v.PromptPrice) + e.AnswerTokens*float64(v.AnswerPrice)) / 1000
+}
+
+// Estimator computes estimates from tallies and keeps them for a short while.
+type Estimator struct {
+	Clock   *clock.Clock
+	Tallier *tallier.Tallier
+
+	mu    sync.Mutex
+	cache atomic.Pointer[map[tallier.Subject]*entry]
+}
+
+type entry struct {
+	estimate Estimate
+	at       clock.Millis
+}
+
+// Estimate returns the estimate of a subject whose version is declared with the given quality.
+func (e *Estimator) Estimate(s tallier.Subject, declared declaration.Quality) *Estimate {
+	now := e.Clock.Now()
+	if cache := e.cache.Load(); cache != nil {
+		held := (*cache)[s]
+		if held != nil && now-held.at < refreshEvery && held.estimate.declared == float64(declared) {
+			return &held.estimate
+		}
+	}
+	fresh := &entry{estimate: e.compute(s, declared), at: now}
+	e.store(s, fresh)
+	return &fresh.estimate
+}
+
+// store replaces the cache by a copy with one entry changed, so that readers need no lock.
+func (e *Estimator) store(s tallier.Subject, fresh *entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next := map[tallier.Subject]*entry{}
+	if cache := e.cache.Load(); cache != nil {
+		for k, v := range *cache {
+			next[k] = v
+		}
+	}
+	next[s] = fresh
+	e.cache.Store(&next)
+}
+
+func (e *Estimator) compute(s tallier.Subject, declared declaration.Quality) Estimate {
+	sum := e.Tallier.Recent(s)
+	n, mean := sum.Rated()
+	total := n + priorWeight
+	out := Estimate{Samples: n, sum: sum, declared: float64(declared)}
+	out.Mean = (mean*n + float64(declared)*priorWeight) / total
+	variance := (sum.Deviation(n, mean)*sum.Deviation(n, mean)*n + priorDeviation*priorDeviation*priorWeight) / total
+	out.Deviation = math.Sqrt(variance)
+	margin := doubt * out.Deviation / math.Sqrt(total)
+	out.Answered = (sum.Answers + priorWeight) / (sum.Answers + sum.Errors + priorWeight)
+	out.Mean *= out.Answered
+	out.Low = max(out.Mean-margin, 0)
+	out.High = min(out.Mean+margin, 1)
+	out.PromptTokens, out.AnswerTokens = priorTokens, priorTokens
+	if sum.Answers > 0 {
+		out.PromptTokens = sum.PromptTokens / sum.Answers
+		out.AnswerTokens = sum.AnswerTokens / sum.Answers
+		out.Took = sum.Took / sum.Answers
+	}
+	_, out.Delay = sum.MedianDelay()
+	return out
+}
--- /dev/null
+++ b/internal/zone/keeper/view.go
@@ -0,0 +1,176 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/order"
+	"example.com/dotterelwell/internal/machine/ident"
+)
+
+// View is the configuration at one store version. It is immutable.
+type View struct {
+	Version ident.StoreVersion
+	// SessionKeys are sorted from the newest to the oldest.
+	SessionKeys []declaration.SessionKey
+
+	workspaces map[string]*Workspace
+	models     map[string]declaration.Model
+	services   map[string]declaration.Service
+	zones      map[string]declaration.Zone
+	zonesOut   map[string]order.Order
+	progress   map[string]order.Progress
+	versions   map[declaration.Ref]*Version
+}
+
+// Version is a declared version with the state that is in force.
+type Version struct {
+	declaration.Version
+	Ref   declaration.Ref
+	State declaration.State
+}
+
+// Workspace is a declared workspace with its routes resolved.
+type Workspace struct {
+	declaration.Workspace
+	routes map[declaration.RouteName]*Route
+}
+
+// Route is a declared route with every version that it may use, whatever the version's state.
+type Route struct {
+	declaration.Route
+	Workspace declaration.WorkspaceName
+	Versions  []*Version
+}
+
+// Empty reports whether nothing has been declared.
+func (v *View) Empty() bool { return len(v.workspaces) == 0 }
+
+// WorkspaceByDigest finds the workspace whose key has the SHA-256 digest, in hex.
+func (v *View) WorkspaceByDigest(digest string) *Workspace { return v.workspaces[digest] }
+
+// VersionOf returns a declared version, or nil.
+func (v *View) VersionOf(ref declaration.Ref) *Version { return v.versions[ref] }
+
+// Service returns a declared service.
+func (v *View) Service(name declaration.ServiceName) (declaration.Service, bool) {
+	s, found := v.services[string(name)]
+	return s, found
+}
+
+// ZoneOut reports whether operators have taken the zone out.
+func (v *View) ZoneOut(zone declaration.ZoneName) bool {
+	_, out := v.zonesOut[string(zone)]
+	return out
+}
+
+// Zones returns the declared zones by name.
+func (v *View) Zones() []declaration.Zone {
+	zones := make([]declaration.Zone, 0, len(v.zones))
+	for _, name := range slices.Sorted(maps.Keys(v.zones)) {
+		zones = append(zones, v.zones[name])
+	}
+	return zones
+}
+
+// Models returns the declared models by name.
+func (v *View) Models() []declaration.Model {
+	models := make([]declaration.Model, 0, len(v.models))
+	for _, name := range slices.Sorted(maps.Keys(v.models)) {
+		models = append(models, v.models[name])
+	}
+	return models
+}
+
+// Model returns a declared model.
+func (v *View) Model(name declaration.ModelName) (declaration.Model, bool) {
+	m, found := v.models[string(name)]
+	return m, found
+}
+
+// Progress returns the progress of a model's roll-out.
+func (v *View) Progress(model declaration.ModelName) (order.Progress, bool) {
+	p, found := v.progress[string(model)]
+	return p, found
+}
+
+// Route returns a workspace's route, or nil.
+func (w *Workspace) Route(name declaration.RouteName) *Route { return w.routes[name] }
+
+// UsesService reports whether the workspace may call the service.
+func (w *Workspace) UsesService(name declaration.ServiceName) bool {
+	return slices.Contains(w.Services, name)
+}
+
+// Allows reports whether the workspace's declaration allows the version.
+func (w *Workspace) Allows(ref declaration.Ref) bool { return covers(w.Allow, ref) }
+
+func covers(list []declaration.Ref, ref declaration.Ref) bool {
+	for _, r := range list {
+		if r.Covers(ref) {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *View) addWorkspace(declared declaration.Workspace) {
+	w := &Workspace{Workspace: declared, routes: map[declaration.RouteName]*Route{}}
+	for _, r := range declared.Routes {
+		w.routes[r.Name] = v.resolve(w, r)
+	}
+	for _, digest := range declared.KeyDigests {
+		v.workspaces[digest] = w
+	}
+}
+
+func (v *View) resolve(w *Workspace, declared declaration.Route) *Route {
+	route := &Route{Route: declared, Workspace: w.Name}
+	for _, version := range v.versions {
+		if covers(declared.Models, version.Ref) && w.Allows(version.Ref) {
+			route.Versions = append(route.Versions, version)
+		}
+	}
+	slices.SortFunc(route.Versions, func(a, b *Version) int {
+		if a.Ref.String() < b.Ref.String() {
+			return -1
+		}
+		return 1
+	})
+	return route
+}
+
+// Reason says why a version may not be used.
+type Reason string
+
+// Reasons against using a version.
+const (
+	ReasonNone       Reason = ""
+	ReasonNotAllowed Reason = "not-allowed"
+	ReasonWithdrawn  Reason = "withdrawn"
+	ReasonDraining   Reason = "draining"
+)
+
+// MayRun tells whether new work of a workspace's route may run on a version.
+// A session keeps a draining version; keeps is set for such work.
+func (v *View) MayRun(workspaceDigest string, route declaration.RouteName, ref declaration.Ref, keeps bool) Reason {
+	w := v.workspaces[workspaceDigest]
+	version := v.versions[ref]
+	if w == nil || version == nil || !w.Allows(ref) {
+		return ReasonNotAllowed
+	}
+	r := w.routes[route]
+	if r == nil || !covers(r.Models, ref) {
+		return ReasonNotAllowed
+	}
+	switch version.State {
+	case declaration.StateWithdrawn:
+		return ReasonWithdrawn
+	case declaration.StateDraining:
+		if !keeps {
+			return ReasonDraining
+		}
+	}
+	return ReasonNone
+}
--- /dev/null
+++ b/internal/zone/warmer/warmer.go
@@ -0,0 +1,148 @@
+// Package warmer bounds the work at backend servers in cold start, over all instances.
+//
+// Only the warming duty holder of a server sends to it while it is cold. Instances
+// spread news of a server's warmth; each change of a server from warm to cold
+// starts a new epoch, and within an epoch warm supersedes cold.
+package warmer
+
+import (
+	"sync"
+
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/ident"
+)
+
+// News is what instances tell one another of a server's warmth.
+type News struct {
+	Server ident.Server `json:"server"`
+	Epoch  uint64       `json:"epoch"`
+	Warm   bool         `json:"warm"`
+}
+
+// newer reports whether n supersedes old.
+func (n News) newer(old News) bool {
+	if n.Epoch != old.Epoch {
+		return n.Epoch > old.Epoch
+	}
+	return n.Warm && !old.Warm
+}
+
+// Duty tells whether this instance holds a server's warming duty.
+type Duty struct {
+	Held bool
+	// Since is when the duty was gained.
+	Since clock.Millis
+}
+
+// Warmer decides how many requests an instance may have at a cold server. Its zero
+// value holds every server to be cold, and no duty. Lock order: a caller may hold
+// the registrar's lock; the warmer calls out without its own.
+type Warmer struct {
+	Clock *clock.Clock
+	// Settle is how long a new duty holder waits before it uses the duty. It must
+	// exceed the lag between two instances' views of the instance list.
+	Settle clock.Millis
+	// DutyFunc tells whether this instance holds a server's duty now.
+	DutyFunc func(server ident.Server) Duty
+	// OthersFunc returns the requests that other instances have at a server, as far as known.
+	OthersFunc func(server ident.Server) int
+	// OnNews, when set, is told of each change that this instance found itself.
+	OnNews func(News)
+	// OnMerged, when set, is told of each change, found or heard.
+	OnMerged func(News)
+
+	mu   sync.Mutex
+	news map[ident.Server]News
+}
+
+// Allowance is the room of this instance at a server.
+type Allowance struct {
+	Cold bool
+	// Room is the number of requests that the instance may have at a cold server.
+	Room int
+}
+
+// Allowance returns the room at a server that bears coldLimit requests while cold.
+func (w *Warmer) Allowance(server ident.Server, coldLimit int) Allowance {
+	w.mu.Lock()
+	warm := w.news[server].Warm
+	w.mu.Unlock()
+	if warm {
+		return Allowance{}
+	}
+	if w.DutyFunc == nil {
+		return Allowance{Cold: true}
+	}
+	duty := w.DutyFunc(server)
+	if !duty.Held || w.Clock.Now()-duty.Since < w.Settle {
+		return Allowance{Cold: true}
+	}
+	others := 0
+	if w.OthersFunc != nil {
+		others = w.OthersFunc(server)
+	}
+	return Allowance{Cold: true, Room: max(max(coldLimit, 1)-others, 0)}
+}
+
+// Warm reports whether the server is held to be warm.
+func (w *Warmer) Warm(server ident.Server) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.news[server].Warm
+}
+
+// Epoch returns the server's current epoch.
+func (w *Warmer) Epoch(server ident.Server) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.news[server].Epoch
+}
+
+// MarkCold records that a server was found cold. It does nothing when that is known.
+func (w *Warmer) MarkCold(server ident.Server) {
+	w.mu.Lock()
+	old, known := w.news[server]
+	if known && !old.Warm {
+		w.mu.Unlock()
+		return
+	}
+	w.mu.Unlock()
+	w.found(News{Server: server, Epoch: old.Epoch + 1})
+}
+
+// MarkWarm records that a server was found warm in epoch.
+func (w *Warmer) MarkWarm(server ident.Server, epoch uint64) {
+	w.found(News{Server: server, Epoch: max(epoch, 1), Warm: true})
+}
+
+func (w *Warmer) found(n News) {
+	if w.Merge(n) && w.OnNews != nil {
+		w.OnNews(n)
+	}
+}
+
+// Merge takes in news and reports whether it changed anything.
+func (w *Warmer) Merge(n News) bool {
+	w.mu.Lock()
+	old, known := w.news[n.Server]
+	if known && !n.newer(old) {
+		w.mu.Unlock()
+		return false
+	}
+	if w.news == nil {
+		w.news = map[ident.Server]News{}
+	}
+	w.news[n.Server] = n
+	w.mu.Unlock()
+	if w.OnMerged != nil {
+		w.OnMerged(n)
+	}
+	return true
+}
+
+// Forget drops what is known of a server that is gone.
+func (w *Warmer) Forget(server ident.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.news, server)
+}
