--- a/internal/cli/demonstrator/demonstrator.go
+++ b/internal/cli/demonstrator/demonstrator.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -164,6 +165,7 @@
 		times := l.times(kind)
 		fmt.Fprintf(out, "%-18s %8d %8.1f %8.1f %8.1f\n", kind, len(times), percentile(times, 50), percentile(times, 95), percentile(times, 99))
 	}
+	l.reportRefusals(out)
 	out.WriteString("\npromises\n")
 	for _, p := range promises {
 		verdict := "kept  "
@@ -175,6 +177,19 @@
 	_, _ = io.WriteString(d.Out, out.String()) // a closed terminal does not change the verdict
 }
 
+// reportRefusals counts refusals by reason, when there are any.
+func (l *load) reportRefusals(out io.Writer) {
+	counts := map[string]int{}
+	for _, r := range l.results {
+		if r.refusal.Type != "" {
+			counts[fmt.Sprintf("%s: %s (%s) %s", r.kind, r.refusal.Type, r.refusal.Outcome, r.refusal.Detail)]++
+		}
+	}
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(out, "  refused %4d  %s\n", counts[reason], reason) // a builder takes everything
+	}
+}
+
 func (d *Demonstrator) explain(f *fleet) {
 	_, _ = fmt.Fprintf(d.Out, `
 The fleet keeps running. Try:
--- a/internal/cli/demonstrator/load.go
+++ b/internal/cli/demonstrator/load.go
@@ -17,6 +17,7 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/bill"
 	"example.com/dotterelwell/internal/contract/chat"
+	"example.com/dotterelwell/internal/contract/problem"
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/standin/engine"
 )
@@ -40,8 +41,8 @@
 	version string
 	// whole is set when the answer is exactly the engine's.
 	whole bool
-	// outcome is that of a refusal.
-	outcome string
+	// refusal is set when the request was refused.
+	refusal problem.Document
 }
 
 // load sends requests and keeps what came of them.
@@ -96,11 +97,17 @@
 	l.results = append(l.results, r)
 }
 
-func (l *load) ruling(ctx context.Context, serial int) { l.chat(ctx, serial, "ruling", "rulings", true) }
+func (l *load) ruling(ctx context.Context, serial int) {
+	l.chat(ctx, serial, "ruling", "rulings", true)
+}
 
-func (l *load) lookup(ctx context.Context, serial int) { l.chat(ctx, serial, "lookup", "lookups", false) }
+func (l *load) lookup(ctx context.Context, serial int) {
+	l.chat(ctx, serial, "lookup", "lookups", false)
+}
 
-func (l *load) appeal(ctx context.Context, serial int) { l.chat(ctx, serial, "appeal", "appeals", false) }
+func (l *load) appeal(ctx context.Context, serial int) {
+	l.chat(ctx, serial, "appeal", "appeals", false)
+}
 
 // chat sends one chat request and checks its answer against the engine's text.
 func (l *load) chat(ctx context.Context, serial int, kind, route string, stream bool) {
@@ -137,11 +144,7 @@
 func readAnswer(resp *http.Response, stream bool, r *result) string {
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		var refusal struct {
-			Outcome string `json:"outcome"`
-		}
-		_ = json.NewDecoder(resp.Body).Decode(&refusal) // an empty outcome counts as none
-		r.outcome = refusal.Outcome
+		_ = json.NewDecoder(resp.Body).Decode(&r.refusal) // an empty refusal counts as none
 		return ""
 	}
 	if !stream {
@@ -179,8 +182,9 @@
 		resp, err := l.send(ctx, serial+i, http.MethodPost, "/services/"+string(desk)+"/register", r, body)
 		if err == nil {
 			r.status = resp.StatusCode
-			raw, _ := io.ReadAll(resp.Body) // a cut answer shows as one that is not whole
-			_ = resp.Body.Close()           // it has been read
+			raw, _ := io.ReadAll(resp.Body)     // a cut answer shows as one that is not whole
+			_ = json.Unmarshal(raw, &r.refusal) // an answer leaves it empty
+			_ = resp.Body.Close()               // it has been read
 			r.whole = r.status == http.StatusOK && bytes.Contains(raw, []byte(`"run":1`))
 		}
 		r.took = time.Since(started)
--- a/internal/link/exchanger/message.go
+++ b/internal/link/exchanger/message.go
@@ -25,7 +25,7 @@
 // Cursor tells how much of a peer's tables has been read.
 type Cursor struct {
 	// Of is the process whose serials these are.
-	Of                                    ident.Incarnation
+	Of                                     ident.Incarnation
 	Warmth, Usage, Blocks, Presence, Tally uint64
 }
 
--- a/internal/machine/assembler/events.go
+++ b/internal/machine/assembler/events.go
@@ -220,4 +220,3 @@
 	}
 	return count
 }
-
--- a/internal/machine/assembler/run.go
+++ b/internal/machine/assembler/run.go
@@ -235,4 +235,3 @@
 		}
 	}
 }
-
--- a/internal/machine/assembler/wire.go
+++ b/internal/machine/assembler/wire.go
@@ -302,4 +302,3 @@
 	n.Chronicler.Note(chronicler.KindPaused, "", "", fmt.Sprintf("%d ms", gap))
 	klog.InfoS("Process was paused", "gap-ms", int64(gap))
 }
-
--- a/internal/machine/registrar/table.go
+++ b/internal/machine/registrar/table.go
@@ -112,17 +112,17 @@
 
 // Row is a copy of what the table holds of a server.
 type Row struct {
-	Server   ident.Server             `json:"server"`
-	Zone     declaration.ZoneName     `json:"zone"`
-	Address  ident.Address            `json:"address"`
-	Versions []declaration.Ref        `json:"versions,omitempty"`
-	Service  declaration.ServiceName  `json:"service,omitempty"`
-	Leaving  bool                     `json:"leaving"`
-	Warm     bool                     `json:"warm"`
-	Epoch    uint64                   `json:"epoch"`
-	InFlight int                      `json:"in-flight"`
-	Limit    int                      `json:"limit"`
-	Load     float64                  `json:"load"`
+	Server   ident.Server            `json:"server"`
+	Zone     declaration.ZoneName    `json:"zone"`
+	Address  ident.Address           `json:"address"`
+	Versions []declaration.Ref       `json:"versions,omitempty"`
+	Service  declaration.ServiceName `json:"service,omitempty"`
+	Leaving  bool                    `json:"leaving"`
+	Warm     bool                    `json:"warm"`
+	Epoch    uint64                  `json:"epoch"`
+	InFlight int                     `json:"in-flight"`
+	Limit    int                     `json:"limit"`
+	Load     float64                 `json:"load"`
 }
 
 // Rows returns the table sorted by server.
--- a/internal/request/conductor/conductor.go
+++ b/internal/request/conductor/conductor.go
@@ -366,9 +366,9 @@
 	version declaration.Ref
 	usage   chat.Usage
 	rating  declaration.Quality
-	frames []inferrer.Frame
-	text   strings.Builder
-	bytes  int
+	frames  []inferrer.Frame
+	text    strings.Builder
+	bytes   int
 }
 
 func (h *hold) put(_ context.Context, f inferrer.Frame) error {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -57,6 +57,10 @@
 	maxTries = 3
 	// claimPause is the pause between tries to claim, for patient calls.
 	claimPause clock.Millis = 250
+	// repeatPatience is how long a repeated call waits for the outcome of the first.
+	repeatPatience = 5 * clock.Second
+	// repeatPause is the pause between two looks at that outcome.
+	repeatPause clock.Millis = 100
 )
 
 // Call is one call of a plain service.
--- a/internal/request/dispatcher/once.go
+++ b/internal/request/dispatcher/once.go
@@ -24,7 +24,7 @@
 		return Reply{}, fault.Newf(op, KindKeyExpired, "the key is %d ms old", age)
 	}
 	e := entry(call, ident.NewNonce())
-	verdict, err := d.claim(ctx, call, e)
+	verdict, err := d.claimOrAwait(ctx, call, e)
 	if err != nil {
 		d.release(e)
 		return Reply{}, fault.New(op, KindClaimFailed, err)
@@ -65,6 +65,26 @@
 	return age >= d.Claimer.Retention, age
 }
 
+// claimOrAwait asks for the right to run. While another call with the key is under
+// way it waits a while for that call's outcome. Asking again costs no write: the
+// shard's holder answers from what it has read.
+func (d *Dispatcher) claimOrAwait(ctx context.Context, call *Call, e claim.Entry) (claimer.Verdict, error) {
+	until := min(d.Clock.Now()+repeatPatience, call.Deadline)
+	for {
+		verdict, err := d.claim(ctx, call, e)
+		if err != nil || verdict.Won || verdict.Record.State != claim.StateClaimed {
+			return verdict, err
+		}
+		underWay := d.LiveFunc == nil || d.LiveFunc(verdict.Record.Owner)
+		if !underWay || verdict.Record.Digest != e.Digest || d.Clock.Now()+repeatPause >= until {
+			return verdict, nil
+		}
+		if err := d.Clock.Sleep(ctx, repeatPause); err != nil {
+			return verdict, nil
+		}
+	}
+}
+
 // claim asks for the right to run; patient calls wait for the store until their deadline.
 func (d *Dispatcher) claim(ctx context.Context, call *Call, e claim.Entry) (claimer.Verdict, error) {
 	started := d.Clock.Now()
@@ -189,4 +209,3 @@
 func (d *Dispatcher) release(e claim.Entry) {
 	_ = d.Claimer.Release(e) // a lost release leaves the key in use, never a second run
 }
-
--- a/internal/request/pacer/pacer.go
+++ b/internal/request/pacer/pacer.go
@@ -84,7 +84,7 @@
 	StallLimit clock.Millis
 	Budget     *Budget
 
-	mu     sync.Mutex
+	mu  sync.Mutex
 	buf []byte
 	// reading is the size of the data that the reader took last and still holds.
 	reading int
