--- a/internal/request/claimer/log.go
+++ b/internal/request/claimer/log.go
@@ -28,6 +28,8 @@
 	// after the first read.
 	since  ident.StoreVersion
 	synced bool
+	// readAt is when the log was last read.
+	readAt clock.Millis
 	// tail is the last chunk's number; the rest describes that chunk.
 	tail        int
 	tailVersion ident.StoreVersion
@@ -38,7 +40,7 @@
 }
 
 // refresh reads what has been written since the last read.
-func (l *shardLog) refresh(ctx context.Context) error {
+func (l *shardLog) refresh(ctx context.Context, c *clock.Clock) error {
 	changes, err := l.store.List(ctx, l.kind, l.since, 0)
 	if err != nil {
 		return err
@@ -51,6 +53,7 @@
 	}
 	l.since = max(l.since, changes.Version)
 	l.synced = true
+	l.readAt = c.Now()
 	return nil
 }
 
--- a/internal/request/claimer/shard.go
+++ b/internal/request/claimer/shard.go
@@ -23,6 +23,8 @@
 	writeBurst = 5
 	// outcomeDelay is how long outcomes wait for claims to share a write with.
 	outcomeDelay clock.Millis = 100
+	// staleAfter is the age of the last read from which a lost claim is looked at again.
+	staleAfter clock.Millis = 300
 	// forwardTimeout bounds a shard holder's answer.
 	forwardTimeout clock.Millis = 1500
 )
@@ -209,8 +211,8 @@
 	defer s.io.Unlock()
 	var err error
 	for range maxTries {
-		if err != nil || !s.log.synced {
-			if readErr := s.log.refresh(ctx); readErr != nil {
+		if err != nil || !s.log.synced || s.doubtful(entries) {
+			if readErr := s.log.refresh(ctx, s.claimer.Clock); readErr != nil {
 				return nil, readErr
 			}
 		}
@@ -225,6 +227,21 @@
 	return nil, err
 }
 
+// doubtful reports whether an entry meets a claim without an outcome in a log that
+// was read a while ago, so that another instance may have settled it since.
+func (s *shard) doubtful(entries []claim.Entry) bool {
+	if s.claimer.Clock.Now()-s.log.readAt < staleAfter {
+		return false
+	}
+	for _, e := range entries {
+		held, found := s.log.ledger.records[e.Key]
+		if found && held.State == claim.StateClaimed && held.Nonce != e.Nonce {
+			return true
+		}
+	}
+	return false
+}
+
 // undecided returns the entries that would change the ledger if appended in order.
 func (s *shard) undecided(entries []claim.Entry) []claim.Entry {
 	var fresh []claim.Entry
@@ -284,7 +301,7 @@
 func (s *shard) refresh(ctx context.Context) error {
 	s.io.Lock()
 	defer s.io.Unlock()
-	if err := s.log.refresh(ctx); err != nil {
+	if err := s.log.refresh(ctx, s.claimer.Clock); err != nil {
 		return fault.New("read claims", KindUndecided, err)
 	}
 	return nil
--- a/internal/standin/objectstore/objectstore.go
+++ b/internal/standin/objectstore/objectstore.go
@@ -41,6 +41,9 @@
 	Clock *clock.Clock
 	// Latency delays each call.
 	Latency clock.Millis
+	// WriteRate is the number of writes a second that the store takes; further ones
+	// queue. Zero means no limit.
+	WriteRate int
 	// Faults spoils calls.
 	Faults faulter.Table
 
@@ -50,6 +53,8 @@
 	kinds   map[storer.ObjectKind]map[string]storer.Object
 	changed chan struct{}
 	calls   Calls
+	// turn is when the next write may begin, in microseconds.
+	turn int64
 }
 
 // SetDown starts or ends an outage, in which no call is answered or takes effect.
@@ -93,9 +98,15 @@
 		s.calls.Reads++
 	}
 	down := s.down
+	wait := s.Latency
+	if write {
+		wait += s.queueWrite()
+	}
 	s.mu.Unlock()
-	if err := s.Clock.Sleep(ctx, s.Latency); s.Latency > 0 && err != nil {
-		return false, fault.New(op, storer.KindUnavailable, err)
+	if wait > 0 {
+		if err := s.Clock.Sleep(ctx, wait); err != nil {
+			return false, fault.New(op, storer.KindUnavailable, err)
+		}
 	}
 	if down {
 		return false, fault.New(op, storer.KindUnavailable, errInjected)
@@ -120,6 +131,18 @@
 	return false, nil
 }
 
+// queueWrite returns how long the next write waits for its turn. The lock must be held.
+func (s *Store) queueWrite() clock.Millis {
+	if s.WriteRate <= 0 {
+		return 0
+	}
+	now := int64(s.Clock.Now()) * 1000
+	s.turn = max(s.turn, now)
+	wait := s.turn - now
+	s.turn += 1_000_000 / int64(s.WriteRate)
+	return clock.Millis(wait / 1000)
+}
+
 // Get reads one object.
 func (s *Store) Get(ctx context.Context, kind storer.ObjectKind, name string) (storer.Object, error) {
 	const op = "get object"
