Claims in two lanes; whole fleet in virtual time

Cause: an outcome cost a write of its own at low rates, and claims queued behind outcomes at the forwarding instance. A stand-in network lets whole instances run in virtual time.

--- a/internal/link/connector/connector.go
+++ b/internal/link/connector/connector.go
@@ -49,6 +49,8 @@
 	Key []byte
 	// ClientTLS and ServerTLS, when set, wrap connections in TLS.
 	ClientTLS, ServerTLS *tls.Config
+	// DialFunc replaces opening TCP connections.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 	// Traffic counts the bytes of all connections.
 	Traffic Traffic
 
@@ -114,8 +116,11 @@
 
 func (c *Connector) dial(ctx context.Context, address ident.Address) (net.Conn, error) {
 	const op = "connect to peer"
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
-	raw, err := dialer.DialContext(ctx, "tcp", string(address))
+	open := c.DialFunc
+	if open == nil {
+		open = (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
+	}
+	raw, err := open(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, fault.New(op, KindUnreachable, err)
 	}
--- a/internal/link/dialer/dialer.go
+++ b/internal/link/dialer/dialer.go
@@ -30,10 +30,17 @@
 	Fresh *http.Client
 }
 
-// New returns the clients and a function that closes their idle connections.
-func New() (*Dialer, func()) {
-	pooled := newTransport()
-	fresh := newTransport()
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// New returns the clients and a function that closes their idle connections. dial
+// opens connections; nil opens TCP connections.
+func New(dial DialFunc) (*Dialer, func()) {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: keepAliveProbeEvery.Duration()}).DialContext
+	}
+	pooled := newTransport(dial)
+	fresh := newTransport(dial)
 	fresh.DisableKeepAlives = true
 	d := &Dialer{Pooled: newClient(pooled), Fresh: newClient(fresh)}
 	return d, func() {
@@ -42,10 +49,9 @@
 	}
 }
 
-func newTransport() *http.Transport {
-	dial := &net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: keepAliveProbeEvery.Duration()}
+func newTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial.DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    idlePerServer,
 		IdleConnTimeout:        idleTimeout.Duration(),
 		MaxResponseHeaderBytes: maxResponseHeaders,
--- a/internal/machine/assembler/node.go
+++ b/internal/machine/assembler/node.go
@@ -2,6 +2,7 @@
 package assembler
 
 import (
+	"context"
 	"net"
 	"sync"
 
@@ -57,8 +58,10 @@
 type Error = fault.Error[Kind]
 
 const (
-	// poolWorkers is the number of background workers.
+	// poolWorkers is the number of background workers besides those of claims.
 	poolWorkers = 32
+	// shardWorkers is the number of workers that one shard of claims can occupy.
+	shardWorkers = 6
 	// poolBacklog is the number of background tasks that may wait.
 	poolBacklog = 1024
 )
@@ -73,6 +76,8 @@
 	Forwarder *forwarder.Forwarder
 	// Caller, Peer and Operator replace listening on the settings' addresses.
 	Caller, Peer, Operator net.Listener
+	// DialFunc replaces opening TCP connections.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Node is one entry instance.
@@ -124,9 +129,9 @@
 	n.Incarnation = ident.NewIncarnation(s.Instance, n.Clock.Now())
 	n.Meter = meter.New()
 	n.Chronicler = &chronicler.Chronicler{Clock: n.Clock, Instance: s.Instance}
-	pool, stopPool := worker.New(poolWorkers, poolBacklog)
+	pool, stopPool := worker.New(poolWorkers+shardWorkers*s.Limits.ClaimShards, poolBacklog)
 	n.Pool = pool
-	dial, closeDial := dialer.New()
+	dial, closeDial := dialer.New(outside.DialFunc)
 	n.fillOutside(dial)
 	if err := n.wireLinks(); err != nil {
 		stopPool()
--- a/internal/machine/assembler/wire.go
+++ b/internal/machine/assembler/wire.go
@@ -48,7 +48,7 @@
 
 // wireLinks builds what connects the instance to its peers.
 func (n *Node) wireLinks() error {
-	n.Connector = &connector.Connector{}
+	n.Connector = &connector.Connector{DialFunc: n.outside.DialFunc}
 	if err := n.loadKeys(); err != nil {
 		return err
 	}
--- a/internal/request/claimer/bench_test.go
+++ b/internal/request/claimer/bench_test.go
@@ -87,6 +87,7 @@
 	var times []float64
 	var all sync.WaitGroup
 	total := int(benchSpan.Seconds()) * rate
+	started := time.Now()
 	for range b.N {
 		for n := range total {
 			time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / float64(rate)))
@@ -106,7 +107,7 @@
 	}
 	slices.Sort(times)
 	b.ReportMetric(float64(store.Calls().Writes)/float64(len(times)), "writes/claim")
-	b.ReportMetric(float64(store.Calls().Writes)/benchSpan.Seconds(), "writes/s")
+	b.ReportMetric(float64(store.Calls().Writes)/time.Since(started).Seconds(), "writes/s")
 	b.ReportMetric(times[len(times)/2], "p50-ms")
 	b.ReportMetric(times[len(times)*99/100], "p99-ms")
 	b.ReportMetric(0, "ns/op")
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -105,7 +105,7 @@
 	e.State = claim.StateClaimed
 	e.Owner = c.Owner
 	e.At = c.Clock.Now()
-	return c.shards[c.ShardOf(e.Key)].submit(ctx, e, false)
+	return c.shards[c.ShardOf(e.Key)].submit(ctx, e)
 }
 
 // Settle records the outcome of a claim. It returns at once; the entry is written
@@ -201,8 +201,12 @@
 // drainPoll is how often Drain looks for entries that still wait.
 const drainPoll clock.Millis = 20
 
-// Drain waits until no entry waits for the store, or ctx ends.
+// Drain writes outcomes without waiting for claims to share a write with, from now
+// on, and returns when no entry waits for the store or ctx ends.
 func (c *Claimer) Drain(ctx context.Context) error {
+	for _, s := range c.shards {
+		s.flush()
+	}
 	for c.Pending() > 0 {
 		if err := c.Clock.Sleep(ctx, drainPoll); err != nil {
 			return fault.Newf("drain claims", KindBacklog, "%d entries wait for the store", c.Pending())
--- a/internal/request/claimer/shard.go
+++ b/internal/request/claimer/shard.go
@@ -14,15 +14,11 @@
 const (
 	// maxBatch bounds the entries of one group commit.
 	maxBatch = 256
+	// maxForwards bounds the calls at once by which one instance hands claims of a
+	// shard to its holder.
+	maxForwards = 4
 	// maxTries bounds the writes of one group commit.
 	maxTries = 4
-	// retryPause is the pause after the store failed, doubled up to maxRetryPause.
-	retryPause    clock.Millis = 50
-	maxRetryPause              = 2 * clock.Second
-	// writeBurst is the number of writes that may go out without pacing.
-	writeBurst = 5
-	// outcomeDelay is how long outcomes wait for claims to share a write with.
-	outcomeDelay clock.Millis = 100
 	// staleAfter is the age of the last read from which a lost claim is looked at again.
 	staleAfter clock.Millis = 300
 	// forwardTimeout bounds a shard holder's answer.
@@ -34,10 +30,13 @@
 	entry claim.Entry
 	// direct forbids forwarding.
 	direct bool
-	// answer receives the result of a claim; nil for outcomes, which are retried.
+	// answer receives the result. An outcome without it is retried until it is written.
 	answer chan result
 }
 
+// claims reports whether somebody waits for the right to run.
+func (o *op) claims() bool { return o.entry.State == claim.StateClaimed }
+
 type result struct {
 	verdict Verdict
 	err     error
@@ -52,25 +51,32 @@
 	}
 }
 
-// shard collects entries and writes them in groups. Lock order: io before mu. The
-// lock io is the only one held over calls of the store, and guards only the log.
+// shard collects entries and brings them into the log: through the duty holder in
+// two lanes, so that outcomes never delay claims, or by writing them itself. Lock
+// order: io before mu. The lock io is the only one held over calls of the store,
+// and guards only the log.
 type shard struct {
 	claimer *Claimer
 	number  int
 
-	mu      sync.Mutex
-	pending []*op
-	running bool
-	pause   clock.Millis
-	credit  float64
-	credAt  clock.Millis
+	mu       sync.Mutex
+	claims   lane
+	outcomes lane
+	writer   writeQueue
+	hurry    bool
 
 	io  sync.Mutex
 	log shardLog
 }
 
-func (s *shard) submit(ctx context.Context, e claim.Entry, direct bool) (Verdict, error) {
-	o := &op{entry: e, direct: direct, answer: make(chan result, 1)}
+// lane holds entries that go to the duty holder.
+type lane struct {
+	ops     []*op
+	runners int
+}
+
+func (s *shard) submit(ctx context.Context, e claim.Entry) (Verdict, error) {
+	o := &op{entry: e, answer: make(chan result, 1)}
 	if err := s.enqueue(o); err != nil {
 		return Verdict{}, err
 	}
@@ -78,129 +84,110 @@
 }
 
 func (s *shard) enqueue(o *op) error {
-	const op = "queue claim"
+	_, own := s.holder()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o.answer != nil && len(s.pending) >= maxPending {
-		return fault.Newf(op, KindBacklog, "%d entries wait for shard %d", len(s.pending), s.number)
+	if o.claims() && s.pendingLocked() >= maxPending {
+		return fault.Newf("queue claim", KindBacklog, "%d entries wait for shard %d", s.pendingLocked(), s.number)
+	}
+	if o.direct || own {
+		return s.queueWrite(o)
+	}
+	l, most := &s.outcomes, 1
+	if o.claims() {
+		l, most = &s.claims, maxForwards
 	}
-	s.pending = append(s.pending, o)
-	if s.running {
+	l.ops = append(l.ops, o)
+	if l.runners >= most {
 		return nil
 	}
-	if !s.claimer.Pool.Submit(s.run) {
-		s.pending = s.pending[:len(s.pending)-1]
-		return fault.Newf(op, KindBacklog, "no worker is free")
+	if !s.claimer.Pool.Submit(func(ctx context.Context) { s.forwardLane(ctx, l) }) {
+		if l.runners > 0 {
+			return nil
+		}
+		l.ops = l.ops[:len(l.ops)-1]
+		return errNoWorker()
 	}
-	s.running = true
+	l.runners++
 	return nil
 }
 
-// run writes pending entries until there is none.
-func (s *shard) run(ctx context.Context) {
-	for {
-		s.awaitTurn(ctx)
-		batch := s.takeBatch()
-		if batch == nil || ctx.Err() != nil {
-			s.deliver(batch, nil, ctx.Err())
-			return
-		}
-		verdicts, err := s.commit(ctx, batch)
-		s.deliver(batch, verdicts, err)
-		s.backOff(ctx, err)
-	}
-}
+func errNoWorker() error { return fault.Newf("queue claim", KindBacklog, "no worker is free") }
 
-// takeBatch returns the next entries, or nil after marking the shard as idle.
-func (s *shard) takeBatch() []*op {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := min(len(s.pending), maxBatch)
-	if n == 0 {
-		s.running = false
-		return nil
+// holder returns the instance with the shard's duty; own is set when this one writes.
+func (s *shard) holder() (ident.Instance, bool) {
+	c := s.claimer
+	if c.HolderFunc == nil || c.ForwardFunc == nil {
+		return "", true
 	}
-	batch := s.pending[:n:n]
-	s.pending = s.pending[n:]
-	return batch
+	holder, own := c.HolderFunc(s.number)
+	return holder, own || holder == ""
 }
 
-// awaitTurn delays a batch of outcomes, and any batch beyond the shard's write rate.
-func (s *shard) awaitTurn(ctx context.Context) {
-	if wait := s.pace(); wait > 0 {
-		_ = s.claimer.Clock.Sleep(ctx, wait) // an ended context shows in run
-	}
-	for waited := clock.Millis(0); waited < outcomeDelay && s.onlyOutcomes(); waited += drainPoll {
-		_ = s.claimer.Clock.Sleep(ctx, drainPoll) // an ended context shows in run
+// forwardLane hands a lane's entries to the duty holder until there is none. What
+// the holder does not take goes into the own write queue.
+func (s *shard) forwardLane(ctx context.Context, l *lane) {
+	for {
+		s.mu.Lock()
+		n := min(len(l.ops), maxBatch)
+		if n == 0 || ctx.Err() != nil {
+			l.runners--
+			s.mu.Unlock()
+			return
+		}
+		batch := l.ops[:n:n]
+		l.ops = l.ops[n:]
+		s.mu.Unlock()
+		verdicts, ok := s.forward(ctx, batch)
+		if ok {
+			deliver(batch, verdicts, nil)
+			continue
+		}
+		s.writeInstead(batch)
 	}
 }
 
-func (s *shard) onlyOutcomes() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, o := range s.pending {
-		if o.answer != nil {
-			return false
-		}
+func (s *shard) forward(ctx context.Context, batch []*op) ([]Verdict, bool) {
+	holder, own := s.holder()
+	if own {
+		return nil, false
 	}
-	return len(s.pending) > 0
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout.Duration())
+	defer cancel()
+	verdicts, err := s.claimer.ForwardFunc(ctx, holder, s.number, entriesOf(batch))
+	return verdicts, err == nil && len(verdicts) == len(batch)
 }
 
-// pace takes one write from the shard's rate and returns how long to wait for it.
-func (s *shard) pace() clock.Millis {
-	every := float64(s.claimer.WriteEvery)
-	if every <= 0 {
-		return 0
-	}
+func (s *shard) writeInstead(batch []*op) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.pending) == 0 {
-		return 0
-	}
-	now := s.claimer.Clock.Now()
-	if s.credAt == 0 {
-		s.credit = writeBurst
-	}
-	s.credit = min(s.credit+float64(now-s.credAt)/every, writeBurst)
-	s.credAt = now
-	s.credit--
-	if s.credit >= 0 {
-		return 0
+	for _, o := range batch {
+		o.direct = true
+		if err := s.queueWrite(o); err != nil && o.answer != nil {
+			o.answer <- result{err: err}
+		}
 	}
-	return clock.Millis(-s.credit * every)
 }
 
-// commit decides a batch: through the duty holder when that is another instance
-// that answers, and by writing otherwise.
-func (s *shard) commit(ctx context.Context, batch []*op) ([]Verdict, error) {
+func entriesOf(batch []*op) []claim.Entry {
 	entries := make([]claim.Entry, len(batch))
-	direct := false
 	for i, o := range batch {
 		entries[i] = o.entry
-		direct = direct || o.direct
 	}
-	if verdicts, ok := s.forward(ctx, entries, direct); ok {
-		return verdicts, nil
-	}
-	return s.write(ctx, entries)
+	return entries
 }
 
-func (s *shard) forward(ctx context.Context, entries []claim.Entry, direct bool) ([]Verdict, bool) {
-	c := s.claimer
-	if direct || c.HolderFunc == nil || c.ForwardFunc == nil {
-		return nil, false
-	}
-	holder, own := c.HolderFunc(s.number)
-	if own || holder == "" {
-		return nil, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout.Duration())
-	defer cancel()
-	verdicts, err := c.ForwardFunc(ctx, holder, s.number, entries)
-	if err != nil || len(verdicts) != len(entries) {
-		return nil, false
+// deliver answers those who wait for a batch.
+func deliver(batch []*op, verdicts []Verdict, err error) {
+	for i, o := range batch {
+		switch {
+		case o.answer == nil:
+		case err != nil:
+			o.answer <- result{err: fault.New("write claim", KindUndecided, err)}
+		default:
+			o.answer <- result{verdict: verdicts[i]}
+		}
 	}
-	return verdicts, true
 }
 
 // write appends what the log does not decide already. After a conflict or a lost
@@ -259,43 +246,20 @@
 	return fresh
 }
 
+// verdicts decides entries by the log, completed by outcomes that wait to be written:
+// that a request has run is true before it is durable.
 func (s *shard) verdicts(entries []claim.Entry) []Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	verdicts := make([]Verdict, len(entries))
 	for i, e := range entries {
-		verdicts[i] = s.log.ledger.verdict(e)
-	}
-	return verdicts
-}
-
-// deliver answers claims and queues outcomes again that were not written.
-func (s *shard) deliver(batch []*op, verdicts []Verdict, err error) {
-	var again []*op
-	for i, o := range batch {
-		switch {
-		case o.answer != nil && err != nil:
-			o.answer <- result{err: fault.New("write claim", KindUndecided, err)}
-		case o.answer != nil:
-			o.answer <- result{verdict: verdicts[i]}
-		case err != nil:
-			again = append(again, o)
+		v := s.log.ledger.verdict(e)
+		if o := s.writer.outcome(v.Record); !v.Won && o != nil {
+			v.Record = merge(v.Record, o.entry)
 		}
+		verdicts[i] = v
 	}
-	if len(again) == 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pending = append(again, s.pending...)
-}
-
-// backOff pauses after the store failed.
-func (s *shard) backOff(ctx context.Context, err error) {
-	if err == nil {
-		s.pause = 0
-		return
-	}
-	s.pause = min(max(2*s.pause, retryPause), maxRetryPause)
-	_ = s.claimer.Clock.Sleep(ctx, s.pause) // an ended context shows in run
+	return verdicts
 }
 
 func (s *shard) refresh(ctx context.Context) error {
@@ -329,10 +293,14 @@
 func (s *shard) waiting() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running {
-		return max(len(s.pending), 1)
+	if s.claims.runners+s.outcomes.runners > 0 || s.writer.running {
+		return max(s.pendingLocked(), 1)
 	}
-	return len(s.pending)
+	return s.pendingLocked()
+}
+
+func (s *shard) pendingLocked() int {
+	return len(s.claims.ops) + len(s.outcomes.ops) + len(s.writer.ops)
 }
 
 func (s *shard) trim(ctx context.Context, before clock.Millis, remove bool) {
--- /dev/null
+++ b/internal/standin/wire/wire.go
@@ -0,0 +1,185 @@
+// Package wire stands in for the network: connections in memory, which work in
+// virtual time and can be cut or made silent.
+package wire
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	errRefused = errors.New("connection refused")
+	errSilent  = errors.New("dial timed out")
+)
+
+// dialPatience is how long a dial to an unreachable address takes to fail.
+const dialPatience = time.Second
+
+// Network connects addresses. Its zero value is ready.
+type Network struct {
+	// Latency delays each write's arrival.
+	Latency time.Duration
+
+	mu        sync.Mutex
+	listeners map[string]*listener
+	links     []*link
+	parted    func(from, to string) bool
+}
+
+// link is one open connection.
+type link struct {
+	from, to string
+	ends     [2]*conn
+}
+
+// Listen opens an address.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, errors.Newf("address %s is in use", address)
+	}
+	if n.listeners == nil {
+		n.listeners = map[string]*listener{}
+	}
+	l := &listener{network: n, address: addr(address), accept: make(chan net.Conn, 1024), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// Dialer returns a function that opens connections as the given host.
+func (n *Network) Dialer(host string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return n.dial(ctx, host, address) }
+}
+
+func (n *Network) dial(ctx context.Context, host, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	parted := n.partedLocked(host, address)
+	n.mu.Unlock()
+	if parted {
+		timer := time.NewTimer(dialPatience)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.C:
+			return nil, errSilent
+		}
+	}
+	if l == nil {
+		return nil, errRefused
+	}
+	near, far := newPair(n.Latency, addr(host), addr(address))
+	select {
+	case l.accept <- far:
+	case <-l.closed:
+		return nil, errRefused
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links = append(n.links, &link{from: host, to: address, ends: [2]*conn{near, far}})
+	return near, nil
+}
+
+func (n *Network) partedLocked(from, to string) bool { return n.parted != nil && n.parted(from, to) }
+
+// Part makes all open and new connections for which parted is true silent: bytes
+// vanish and dials time out. A nil parted lets new connections work again; open ones
+// that were silent stay so.
+func (n *Network) Part(parted func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.parted = parted
+	if parted != nil {
+		n.silenceLocked(parted)
+	}
+}
+
+// Silence makes the open connections for which chosen is true silent for good, while
+// new ones work.
+func (n *Network) Silence(chosen func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silenceLocked(chosen)
+}
+
+func (n *Network) silenceLocked(chosen func(from, to string) bool) {
+	for _, l := range n.links {
+		if chosen(l.from, l.to) {
+			l.ends[0].out.silence()
+			l.ends[1].out.silence()
+		}
+	}
+}
+
+// Reset breaks the open connections for which chosen is true.
+func (n *Network) Reset(chosen func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		if chosen(l.from, l.to) {
+			_ = l.ends[0].Close() // it may be closed already
+			_ = l.ends[1].Close() // it may be closed already
+		}
+	}
+}
+
+type addr string
+
+func (addr) Network() string { return "tcp" }
+
+func (a addr) String() string { return string(a) }
+
+type listener struct {
+	network *Network
+	address addr
+	accept  chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.network.mu.Lock()
+		delete(l.network.listeners, string(l.address))
+		l.network.mu.Unlock()
+		close(l.closed)
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return l.address }
+
+// Isolate cuts hosts off from everything for good, besides what Part does.
+func (n *Network) Isolate(hosts ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := n.parted
+	isolated := func(from, to string) bool {
+		for _, h := range hosts {
+			if from == h || strings.HasPrefix(to, h+":") {
+				return true
+			}
+		}
+		return false
+	}
+	n.parted = func(from, to string) bool {
+		return isolated(from, to) || before != nil && before(from, to)
+	}
+	n.silenceLocked(isolated)
+}
