--- a/internal/request/biller/biller.go
+++ b/internal/request/biller/biller.go
@@ -239,6 +239,7 @@
 		if err := b.Clock.Sleep(ctx, b.interval()+pause); err != nil {
 			return nil
 		}
+		b.startHolding() // the peer that held records may be gone
 		if err := b.Flush(ctx); err != nil {
 			pause = min(max(2*pause, retryPause), maxRetryPause)
 			continue
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -88,7 +88,10 @@
 	}
 	c.shards = make([]*shard, c.Shards)
 	for i := range c.shards {
-		c.shards[i] = &shard{claimer: c, number: i, log: shardLog{store: c.Store, kind: claim.Kind(i), tail: noChunk}}
+		s := &shard{claimer: c, number: i, turn: make(chan struct{}, 1)}
+		s.log = shardLog{store: c.Store, kind: claim.Kind(i), tail: noChunk}
+		s.giveTurn()
+		c.shards[i] = s
 	}
 }
 
@@ -152,23 +155,18 @@
 }
 
 // Find reads what is held for a key, as of now.
-func (c *Claimer) Find(ctx context.Context, key ident.Key) (claim.Entry, bool, error) {
-	s := c.shards[c.ShardOf(key)]
-	if err := s.refresh(ctx); err != nil {
-		return claim.Entry{}, false, err
-	}
-	e, found := s.lookup(key)
-	return e, found, nil
+func (c *Claimer) Find(ctx context.Context, key ident.Key) (e claim.Entry, found bool, err error) {
+	err = c.shards[c.ShardOf(key)].read(ctx, func(l *ledger) { e, found = l.records[key] })
+	return e, found, err
 }
 
 // Unsettled reads all claims without an outcome.
 func (c *Claimer) Unsettled(ctx context.Context) ([]claim.Entry, error) {
 	var open []claim.Entry
 	for _, s := range c.shards {
-		if err := s.refresh(ctx); err != nil {
+		if err := s.read(ctx, func(l *ledger) { open = append(open, l.unsettled()...) }); err != nil {
 			return nil, err
 		}
-		open = append(open, s.unsettled()...)
 	}
 	return open, nil
 }
@@ -186,7 +184,7 @@
 // instance holds the duty.
 func (c *Claimer) Trim(ctx context.Context) {
 	for _, s := range c.shards {
-		s.trim(ctx, c.Clock.Now()-c.Retention, c.holds(s.number))
+		_ = s.trim(ctx, c.Clock.Now()-c.Retention, c.holds(s.number)) // the next call goes on
 	}
 }
 
--- a/internal/request/claimer/ledger.go
+++ b/internal/request/claimer/ledger.go
@@ -72,3 +72,14 @@
 	}
 	l.records[e.Key] = e
 }
+
+// unsettled returns the claims without an outcome.
+func (l *ledger) unsettled() []claim.Entry {
+	var open []claim.Entry
+	for _, e := range l.records {
+		if e.State == claim.StateClaimed {
+			open = append(open, e)
+		}
+	}
+	return open
+}
--- a/internal/request/claimer/shard.go
+++ b/internal/request/claimer/shard.go
@@ -65,10 +65,23 @@
 	writer   writeQueue
 	hurry    bool
 
-	io  sync.Mutex
-	log shardLog
+	// turn holds a token while nobody uses the log.
+	turn chan struct{}
+	log  shardLog
 }
 
+// takeTurn waits for the use of the log; giveTurn ends it.
+func (s *shard) takeTurn(ctx context.Context) error {
+	select {
+	case <-s.turn:
+		return nil
+	case <-ctx.Done():
+		return fault.New("use log", KindUndecided, ctx.Err())
+	}
+}
+
+func (s *shard) giveTurn() { s.turn <- struct{}{} }
+
 // lane holds entries that go to the duty holder.
 type lane struct {
 	ops     []*op
@@ -194,8 +207,10 @@
 // answer it reads the log and decides anew, so that an entry is never in doubt
 // once a read has succeeded.
 func (s *shard) write(ctx context.Context, entries []claim.Entry) ([]Verdict, error) {
-	s.io.Lock()
-	defer s.io.Unlock()
+	if err := s.takeTurn(ctx); err != nil {
+		return nil, err
+	}
+	defer s.giveTurn()
 	var err error
 	for range maxTries {
 		if err != nil || !s.log.synced || s.doubtful(entries) {
@@ -262,34 +277,19 @@
 	return verdicts
 }
 
-func (s *shard) refresh(ctx context.Context) error {
-	s.io.Lock()
-	defer s.io.Unlock()
+// read brings the log up to date and calls use while nobody else uses it.
+func (s *shard) read(ctx context.Context, use func(*ledger)) error {
+	if err := s.takeTurn(ctx); err != nil {
+		return err
+	}
+	defer s.giveTurn()
 	if err := s.log.refresh(ctx, s.claimer.Clock); err != nil {
 		return fault.New("read claims", KindUndecided, err)
 	}
+	use(&s.log.ledger)
 	return nil
 }
 
-func (s *shard) lookup(key ident.Key) (claim.Entry, bool) {
-	s.io.Lock()
-	defer s.io.Unlock()
-	e, found := s.log.ledger.records[key]
-	return e, found
-}
-
-func (s *shard) unsettled() []claim.Entry {
-	s.io.Lock()
-	defer s.io.Unlock()
-	var open []claim.Entry
-	for _, e := range s.log.ledger.records {
-		if e.State == claim.StateClaimed {
-			open = append(open, e)
-		}
-	}
-	return open
-}
-
 func (s *shard) waiting() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -303,21 +303,23 @@
 	return len(s.claims.ops) + len(s.outcomes.ops) + len(s.writer.ops)
 }
 
-func (s *shard) trim(ctx context.Context, before clock.Millis, remove bool) {
-	s.io.Lock()
+// trim forgets keys that were last heard of before the given time and, with remove,
+// deletes chunks that hold no others.
+func (s *shard) trim(ctx context.Context, before clock.Millis, remove bool) error {
+	if err := s.takeTurn(ctx); err != nil {
+		return err
+	}
+	defer s.giveTurn()
 	s.log.ledger.trim(before)
-	old := s.log.expired(before)
-	s.io.Unlock()
 	if !remove {
-		return
+		return nil
 	}
-	for _, n := range old {
+	for _, n := range s.log.expired(before) {
 		err := s.claimer.Store.Delete(ctx, claim.Kind(s.number), claim.ChunkName(n), storer.Precondition{})
 		if err != nil && storer.KindOf(err) != storer.KindNotFound {
-			return
+			return err
 		}
-		s.io.Lock()
 		delete(s.log.ages, n)
-		s.io.Unlock()
 	}
+	return nil
 }
--- a/internal/standin/deskservice/deskservice.go
+++ b/internal/standin/deskservice/deskservice.go
@@ -54,6 +54,13 @@
 	return runs
 }
 
+// Ran reports whether the request has run.
+func (s *Service) Ran(request ident.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told[request].Ran
+}
+
 // Handler serves calls under /services/ and look-ups under /requests/.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -129,6 +129,18 @@
 	return s
 }
 
+// Ran reports whether an attempt of the caller's request was started.
+func (e *Engine) Ran(request ident.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for attempt := range e.stats.Runs {
+		if strings.HasPrefix(string(attempt), string(request)+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // Load returns the engine's current load.
 func (e *Engine) Load() chat.Load {
 	e.mu.Lock()
