--- /dev/null
+++ b/internal/machine/assembler/zone_test.go
@@ -0,0 +1,456 @@
+package assembler_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/chat"
+	"example.com/dotterelwell/internal/contract/lister"
+	"example.com/dotterelwell/internal/contract/order"
+	"example.com/dotterelwell/internal/machine/loader"
+	"example.com/dotterelwell/internal/standin/engine"
+	"example.com/dotterelwell/internal/standin/faulter"
+	"example.com/dotterelwell/internal/standin/fleet"
+	"example.com/dotterelwell/internal/standin/property"
+)
+
+// steadyLoad sends requests at a rate until ctx ends and returns what came of them.
+type steadyLoad struct {
+	mu      sync.Mutex
+	sent    int
+	failed  map[string]int
+	reasons map[string]int
+	times   []time.Duration
+	done    sync.WaitGroup
+}
+
+func (l *steadyLoad) run(ctx context.Context, f *fleet.Fleet, route string, perSecond int) {
+	l.failed, l.reasons = map[string]int{}, map[string]int{}
+	rng := rand.New(rand.NewPCG(7, 7))
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / float64(perSecond)))
+		l.done.Go(func() {
+			start := time.Now()
+			reply, err := f.Send(context.Background(), f.Next(), fleet.Chat(route, fmt.Sprintf("%s %d tokens=8", route, i), false))
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.sent++
+			l.times = append(l.times, time.Since(start))
+			if err != nil || reply.Status != 200 {
+				l.failed[route]++
+				l.reasons[fmt.Sprintf("%v %s", err, reply.Body)]++
+			}
+		})
+	}
+	l.done.Wait()
+}
+
+func (l *steadyLoad) percentile(p int) time.Duration {
+	if len(l.times) == 0 {
+		return 0
+	}
+	slices.Sort(l.times)
+	return l.times[len(l.times)*p/100]
+}
+
+// zoneOut gives the order to take a zone out.
+func zoneOut(t *testing.T, f *fleet.Fleet, zone declaration.ZoneName) {
+	t.Helper()
+	if _, err := f.Submitter().Give(t.Context(), order.SortZoneOut, string(zone), order.Order{By: "test"}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestZoneOut takes a zone out under load and brings it back: its servers get no new
+// work within 3 s, patient requests do not fail, and the servers come back cold and
+// do not fall over. Half of the instances have lost the store meanwhile.
+func TestZoneOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 6)
+		load, patient := &steadyLoad{}, &steadyLoad{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var both sync.WaitGroup
+		both.Go(func() { load.run(ctx, f, "lookups", 40) })
+		both.Go(func() { patient.run(ctx, f, "rulings", 20) })
+		time.Sleep(5 * time.Second)
+		for _, n := range f.Nodes[:3] {
+			f.CutPlatform(n, true)
+		}
+		ordered := time.Now()
+		zoneOut(t, f, f.Zones[0])
+		time.Sleep(10 * time.Second)
+		last := time.Time{}
+		for _, i := range []int{0, 3} {
+			if at := f.Engines[i].Stats().LastStart; at.After(last) {
+				last = at
+			}
+		}
+		if late := last.Sub(ordered); late > 3*time.Second {
+			t.Errorf("the last new work in the zone came %v after the order", late)
+		} else {
+			t.Logf("the last new work in the zone came %v after the order", late)
+		}
+		for _, n := range f.Nodes {
+			if out := n.Settings.Zone == f.Zones[0]; out == n.Status().Ready {
+				t.Errorf("%s in zone %s: ready %v", n.Settings.Instance, n.Settings.Zone, n.Status().Ready)
+			}
+		}
+		for _, i := range []int{0, 3} {
+			f.Engines[i].SetCold()
+		}
+		for _, n := range f.Nodes[:3] {
+			f.CutPlatform(n, false)
+		}
+		if err := f.Submitter().Revoke(t.Context(), order.SortZoneOut, string(f.Zones[0])); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		cancel()
+		both.Wait()
+		for i, e := range f.Engines {
+			if s := e.Stats(); s.Collapses > 0 || s.PeakCold > 2 {
+				t.Errorf("engine %d: %d at once while cold, %d collapses", i, s.PeakCold, s.Collapses)
+			}
+		}
+		if n := patient.failed["rulings"]; n > 0 {
+			t.Errorf("%d of %d patient requests failed: %v", n, patient.sent, patient.reasons)
+		}
+		if n := load.failed["lookups"]; n > 0 {
+			t.Errorf("%d of %d lookups failed: %v", n, load.sent, load.reasons)
+		}
+		if started := f.Engines[0].Stats().LastStart; !started.After(ordered.Add(12 * time.Second)) {
+			t.Errorf("engine 0 got no work after its zone came back; last start %v after the order", started.Sub(ordered))
+		}
+	})
+}
+
+// TestConfigEverywhere measures how long a change takes to be in force on the last of
+// 8 instances, with the store in reach of all and of half of them.
+func TestConfigEverywhere(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		cut   int
+		bound time.Duration
+	}{{"store up", 0, 2 * time.Second}, {"store lost to half", 4, 5 * time.Second}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 8, 1)
+				for _, n := range f.Nodes[:tt.cut] {
+					f.CutPlatform(n, true)
+				}
+				time.Sleep(12 * time.Second) // open watches end meanwhile
+				worst := time.Duration(0)
+				for i := range 20 {
+					doc := f.Configuration()
+					doc.Workspaces[0].Routes[0].Quality = declaration.Quality(0.5 + float64(i)/100)
+					start := time.Now()
+					if err := f.Submit(t.Context(), doc); err != nil {
+						t.Fatal(err)
+					}
+					for !inForce(f, doc.Workspaces[0].Routes[0].Quality) {
+						time.Sleep(10 * time.Millisecond)
+					}
+					worst = max(worst, time.Since(start))
+				}
+				t.Logf("in force on the last of 8 instances after %v at worst", worst)
+				if worst > tt.bound {
+					t.Errorf("a change took %v, more than %v", worst, tt.bound)
+				}
+			})
+		})
+	}
+}
+
+func inForce(f *fleet.Fleet, q declaration.Quality) bool {
+	for _, n := range f.Nodes {
+		route := n.Keeper.View().WorkspaceByDigest(workspaceDigest()).Route("lookups")
+		if route.Route.Quality != q {
+			return false
+		}
+	}
+	return true
+}
+
+// TestStoreOutage serves through an hour without the store, also on an instance that
+// starts meanwhile, and takes up changes afterwards.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 2)
+		f.Store.SetDown(true)
+		time.Sleep(30 * time.Minute)
+		if err := f.AddNodes(1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Minute)
+		for _, n := range f.Nodes {
+			reply, err := f.Send(t.Context(), n, fleet.Chat("lookups", "in the outage", false))
+			if err != nil || reply.Status != 200 {
+				t.Errorf("%s: status %d, error %v: %s", n.Settings.Instance, reply.Status, err, reply.Body)
+			}
+		}
+		reply, err := f.Send(t.Context(), f.Nodes[0], fleet.Register("k", "body"))
+		if err != nil || reply.Status != 503 {
+			t.Errorf("a registration that cannot be claimed got status %d, error %v: %s", reply.Status, err, reply.Body)
+		}
+		f.Store.SetDown(false)
+		time.Sleep(30 * time.Second)
+		zoneOut(t, f, f.Zones[0])
+		time.Sleep(5 * time.Second)
+		for _, n := range f.Nodes {
+			if !n.Keeper.View().ZoneOut(f.Zones[0]) {
+				t.Errorf("%s missed a change after the outage", n.Settings.Instance)
+			}
+		}
+		if again, err := f.Send(t.Context(), f.Nodes[1], fleet.Register("k", "body")); err != nil || again.Status != 200 {
+			t.Errorf("the registration after the outage got status %d, error %v: %s", again.Status, err, again.Body)
+		}
+	})
+}
+
+// TestAloneInstance cuts one instance off from the store and all peers: it stops
+// taking work, because it may miss changes, and says that nothing has run.
+func TestAloneInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 2)
+		alone := f.Nodes[0]
+		f.CutPlatform(alone, true)
+		f.Network.Part(func(from, to string) bool {
+			return from == "entry-1" && to != "10.2.0.1:80" || to == string(alone.Settings.PeerAddress)
+		})
+		time.Sleep(20 * time.Second)
+		if alone.Status().Ready {
+			t.Error("an instance that hears nobody is ready")
+		}
+		reply, err := f.Send(t.Context(), alone, fleet.Chat("lookups", "alone", false))
+		if err != nil || reply.Status != 503 {
+			t.Errorf("it answered with status %d, error %v: %s", reply.Status, err, reply.Body)
+		}
+	})
+}
+
+// TestLeavingServer gives a leaving server no new work after the list says so.
+func TestLeavingServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 2)
+		load := &steadyLoad{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { load.run(ctx, f, "lookups", 40) })
+		time.Sleep(2 * time.Second)
+		f.List.Lag = 500
+		left := time.Now()
+		f.List.SetState("engine-1", lister.StateLeaving)
+		time.Sleep(5 * time.Second)
+		cancel()
+		done.Wait()
+		if late := f.Engines[0].Stats().LastStart.Sub(left); late > 2*time.Second {
+			t.Errorf("a leaving server got new work %v after it was listed so", late)
+		}
+		if load.failed["lookups"] > 0 {
+			t.Errorf("%d requests failed: %v", load.failed["lookups"], load.reasons)
+		}
+	})
+}
+
+// TestPlannedStop replaces every instance under load, one after the other. No request
+// may be cut or refused.
+func TestPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 3)
+		load := &steadyLoad{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { load.run(ctx, f, "lookups", 30) })
+		for _, old := range slices.Clone(f.Nodes) {
+			if err := f.AddNodes(1); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(3 * time.Second)
+			f.Stop(old)
+			time.Sleep(5 * time.Second)
+		}
+		cancel()
+		done.Wait()
+		if load.failed["lookups"] > 0 {
+			t.Errorf("%d of %d requests failed while instances were replaced: %v", load.failed["lookups"], load.sent, load.reasons)
+		}
+	})
+}
+
+// TestColdLimitUnderChurn turns engines cold while instances come, go, and lose one
+// another. The requests at a cold engine, over all instances, stay within its limit.
+func TestColdLimitUnderChurn(t *testing.T) {
+	property.Check(t, 20, func(rt *rapid.T) {
+		type step struct{ at, kind, target int }
+		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+			return step{rapid.IntRange(1, 30_000).Draw(rt, "at"), rapid.IntRange(0, 3).Draw(rt, "kind"), rapid.IntRange(0, 3).Draw(rt, "target")}
+		}), 1, 8).Draw(rt, "steps")
+		slow := rapid.Bool().Draw(rt, "slow answers")
+		peak, collapses := 0, 0
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 4, 1, func(f *fleet.Fleet) {
+				f.Settings = func(s *loader.Settings) { s.Limits.Settle = 3000 }
+			})
+			for _, e := range f.Engines {
+				e.WarmAfter = 20
+				if slow {
+					e.TokenGap = 100
+				}
+			}
+			load := &steadyLoad{}
+			ctx, cancel := context.WithCancel(t.Context())
+			var all sync.WaitGroup
+			all.Go(func() { load.run(ctx, f, "rulings", 20) })
+			for _, s := range steps {
+				all.Go(func() {
+					time.Sleep(time.Duration(s.at) * time.Millisecond)
+					churn(f, s.kind, s.target)
+				})
+			}
+			// A new engine is cold from the start, and known to be so.
+			fresh := &engine.Engine{Versions: []declaration.Ref{cheap1, cheap2}, FirstToken: 50, TokenGap: 20, Limit: 32, ColdLimit: 2, WarmAfter: 30}
+			fresh.SetCold()
+			if err := f.AddEngine(1, fresh); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(40 * time.Second)
+			cancel()
+			all.Wait()
+			peak, collapses = fresh.Stats().PeakCold, fresh.Stats().Collapses
+		})
+		if peak > 2 || collapses > 0 {
+			rt.Fatalf("%d requests at once at a cold engine that bears 2, %d collapses", peak, collapses)
+		}
+	})
+}
+
+func churn(f *fleet.Fleet, kind, target int) {
+	switch kind {
+	case 0:
+		_ = f.AddNodes(1) // an address in use leaves the fleet as it is
+	case 1:
+		if nodes := f.Nodes; len(nodes) > 2 {
+			f.Kill(nodes[target%len(nodes)])
+		}
+	case 2:
+		f.PartZones()
+	case 3:
+		f.Network.Part(nil)
+	}
+}
+
+// TestSuddenCold measures how many requests reach an engine that turns cold without
+// warning before all instances treat it so.
+func TestSuddenCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 3)
+		load := &steadyLoad{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { load.run(ctx, f, "lookups", 60) })
+		time.Sleep(5 * time.Second)
+		e := f.Engines[0]
+		e.WarmAfter = 1000
+		before := e.Stats().Versions[cheap1] + e.Stats().Versions[cheap2]
+		e.SetCold()
+		turned := time.Now()
+		for !allCold(f, "engine-1") && time.Since(turned) < 5*time.Second {
+			time.Sleep(5 * time.Millisecond)
+		}
+		took := time.Since(turned)
+		exposed := e.Stats().Versions[cheap1] + e.Stats().Versions[cheap2] - before
+		time.Sleep(5 * time.Second)
+		cancel()
+		done.Wait()
+		t.Logf("all instances knew after %v; %d requests had started at the cold engine, %d collapses", took, exposed, e.Stats().Collapses)
+		if took > time.Second {
+			t.Errorf("it took %v until all instances treated the engine as cold", took)
+		}
+	})
+}
+
+func allCold(f *fleet.Fleet, id string) bool {
+	for _, n := range f.Nodes {
+		for _, row := range n.Registrar.Rows() {
+			if string(row.Server) == id && row.Warm {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// TestSilentConnections makes every open connection to the engines silent, while new
+// ones work, and measures the longest recovery.
+func TestSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 2)
+		for _, e := range f.Engines {
+			e.TokenGap = 100
+		}
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		worst := time.Duration(0)
+		for i := range 12 {
+			all.Go(func() {
+				start := time.Now()
+				prompt := fmt.Sprintf("long answer %d tokens=30", i)
+				reply, err := f.Send(context.Background(), f.Nodes[i%2], fleet.Chat("rulings", prompt, true))
+				took := time.Since(start)
+				text, whole := streamText(reply.Body)
+				version, _ := declaration.ParseRef(reply.Header.Get(chat.HeaderVersion)) // a wrong version shows as a wrong text
+				if err != nil || !whole || text != engine.Text(version, prompt) {
+					t.Errorf("status %d, error %v, whole %v", reply.Status, err, whole)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				worst = max(worst, took)
+			})
+		}
+		time.Sleep(time.Second)
+		f.Network.Silence(func(_, to string) bool { return to == "10.2.0.1:80" || to == "10.2.0.2:80" })
+		all.Wait()
+		const undisturbed = 3300 * time.Millisecond
+		t.Logf("the longest answer took %v, %v more than undisturbed", worst, worst-undisturbed)
+		if worst-undisturbed > 4*time.Second {
+			t.Errorf("recovery took %v", worst-undisturbed)
+		}
+	})
+}
+
+// TestCutWithoutResume ends an answer clearly when an engine cannot resume: afresh
+// while nothing was sent, and with an error event otherwise.
+func TestCutWithoutResume(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		frame int
+		whole bool
+	}{{"before the first frame", 0, true}, {"part way through", 5, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 2)
+				for _, e := range f.Engines {
+					e.CannotResume = true
+					e.Faults.Add(faulter.Rule{Point: engine.PointChat, Effect: faulter.EffectCut, Frame: tt.frame, Count: 1})
+				}
+				reply, err := f.Send(t.Context(), f.Nodes[0], fleet.Chat("rulings", "question tokens=9", true))
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, whole := streamText(reply.Body)
+				if whole != tt.whole {
+					t.Errorf("whole %v, want %v: %s", whole, tt.whole, reply.Body)
+				}
+			})
+		})
+	}
+}
