--- a/internal/link/enroller/enroller.go
+++ b/internal/link/enroller/enroller.go
@@ -22,9 +22,9 @@
 	// pauseLimit is the time without a tick after which this process takes itself
 	// to have been paused.
 	pauseLimit = 2 * clock.Second
-	// freshness is the age up to which the list, or a peer's news, proves that this
+	// Freshness is the age up to which the list, or a peer's news, proves that this
 	// process is not cut off.
-	freshness = 5 * clock.Second
+	Freshness = 5 * clock.Second
 	// historySpan is how long earlier lists are remembered.
 	historySpan = 60 * clock.Second
 	// goneAfter is the silence after which a process counts as gone.
@@ -292,12 +292,12 @@
 // connected reports whether the list has answered lately, or else most of the
 // listed instances have.
 func (e *Enroller) connected(now clock.Millis) bool {
-	if now-e.listed <= freshness {
+	if now-e.listed <= Freshness {
 		return true
 	}
 	fresh := 1
 	for id := range e.peers {
-		if h := e.heard[id]; h.direct > 0 && now-h.direct <= freshness {
+		if h := e.heard[id]; h.direct > 0 && now-h.direct <= Freshness {
 			fresh++
 		}
 	}
@@ -320,5 +320,5 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	h := e.heard[id]
-	return h.direct > 0 && e.Clock.Now()-h.direct <= freshness
+	return h.direct > 0 && e.Clock.Now()-h.direct <= Freshness
 }
--- a/internal/machine/assembler/path_test.go
+++ b/internal/machine/assembler/path_test.go
@@ -8,6 +8,7 @@
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/chat"
+	"example.com/dotterelwell/internal/request/handler"
 	"example.com/dotterelwell/internal/standin/deskservice"
 	"example.com/dotterelwell/internal/standin/engine"
 	"example.com/dotterelwell/internal/standin/fleet"
@@ -107,3 +108,5 @@
 		}
 	})
 }
+
+func workspaceDigest() string { return handler.KeyDigest(fleet.Key) }
--- a/internal/machine/assembler/run.go
+++ b/internal/machine/assembler/run.go
@@ -22,7 +22,7 @@
 	// tickEvery is the interval of the instance's own housekeeping.
 	tickEvery clock.Millis = 200
 	// listWait is how long one watch of the instance list waits.
-	listWait = 5 * clock.Second
+	listWait = 3 * clock.Second
 	// listPause is the pause after the instance list failed.
 	listPause = 1 * clock.Second
 	// trimEvery is the interval at which old claims are forgotten.
--- a/internal/machine/assembler/wire.go
+++ b/internal/machine/assembler/wire.go
@@ -138,12 +138,23 @@
 		Clock: n.Clock, Zone: n.Settings.Zone, Region: n.Settings.Region, Instance: n.Settings.Instance,
 		SubsetSize: n.Settings.Limits.Subset, Warmer: n.Warmer, ViewFunc: n.Keeper.View, OnFreed: n.Admitter.Wake,
 	}
+	n.Registrar.OnRefused = n.askLoad
 	n.outside.Inferrer.OnLoad = func(address ident.Address, load chat.Load) {
 		n.Registrar.Report(address, load, n.Registrar.Epoch(address))
 	}
 	n.outside.Inferrer.OnDropped = func(ident.Address, ident.Request) { n.Meter.DroppedFrames.Inc() }
 }
 
+// askLoad asks a server that refused a request for its load, because it may have
+// turned cold.
+func (n *Node) askLoad(_ ident.Server, address ident.Address, epoch uint64) {
+	n.Pool.Submit(func(ctx context.Context) {
+		if load, err := n.outside.Inferrer.Load(ctx, address); err == nil {
+			n.Registrar.Report(address, load, epoch)
+		}
+	})
+}
+
 func (n *Node) warmingDuty(server ident.Server) warmer.Duty {
 	held, since := n.Enroller.Guarded("warm/" + string(server))
 	return warmer.Duty{Held: held, Since: since}
--- a/internal/machine/loader/loader.go
+++ b/internal/machine/loader/loader.go
@@ -12,6 +12,7 @@
 	"os"
 
 	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/link/enroller"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -118,7 +119,7 @@
 			PromptTimeout: 10 * clock.Second, PatientTimeout: 120 * clock.Second,
 			StallLimit: 10 * clock.Second, HeaderGap: 1 * clock.Second,
 			FirstTokenGap: 10 * clock.Second, TokenGap: 2 * clock.Second,
-			Settle: 3 * clock.Second, MaxConfigAge: 15 * clock.Second,
+			Settle: 8 * clock.Second, MaxConfigAge: 15 * clock.Second,
 			BalancerDelay: 2 * clock.Second, DrainTimeout: 150 * clock.Second,
 			RatingSample: 10,
 		},
@@ -248,6 +249,9 @@
 	} {
 		positive(c, "limits."+field, value)
 	}
+	if l.Settle <= enroller.Freshness {
+		c.add("limits.settle-ms", "%d is not above %d, the age of a list that still counts as fresh", l.Settle, enroller.Freshness)
+	}
 	if l.BalancerDelay < 0 {
 		c.add("limits.balancer-delay-ms", "%d is below 0", l.BalancerDelay)
 	}
--- a/internal/machine/registrar/outcome.go
+++ b/internal/machine/registrar/outcome.go
@@ -21,6 +21,9 @@
 	warmth := r.learn(s, result, firstToken)
 	r.mu.Unlock()
 	r.tellWarmer(s, warmth)
+	if result == ResultRefused && len(s.row.info.Versions) > 0 && r.OnRefused != nil {
+		r.OnRefused(s.Server, s.Address, s.epoch)
+	}
 	if r.OnFreed != nil {
 		r.OnFreed()
 	}
--- a/internal/machine/registrar/registrar.go
+++ b/internal/machine/registrar/registrar.go
@@ -81,6 +81,9 @@
 	ViewFunc   func() *keeper.View
 	// OnFreed, when set, is called without the lock when room may have appeared.
 	OnFreed func()
+	// OnRefused, when set, is told without the lock of each refusal by an engine that
+	// was thought to have room.
+	OnRefused func(id ident.Server, address ident.Address, epoch uint64)
 
 	mu        sync.Mutex
 	servers   map[ident.Server]*server
@@ -186,13 +189,21 @@
 		rows = r.byService[want.Service]
 	}
 	now := r.Clock.Now()
-	alive := 0
+	alive, untried := 0, 0
 	for _, s := range rows {
 		if s.leaving || view.ZoneOut(s.info.Zone) {
 			continue
 		}
 		alive++
-		if now < s.avoidUntil || contains(want.Exclude, s.id) || !r.hasRoom(view, s) {
+		if !contains(want.Exclude, s.id) {
+			untried++
+		}
+	}
+	if untried == 0 {
+		want.Exclude = nil // every server has been tried, so any may be tried again
+	}
+	for _, s := range rows {
+		if s.leaving || view.ZoneOut(s.info.Zone) || now < s.avoidUntil || contains(want.Exclude, s.id) || !r.hasRoom(view, s) {
 			continue
 		}
 		r.scratch = append(r.scratch, s)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -178,7 +178,7 @@
 	e.stats.LastStart = now
 	s := &stream{answer: a, started: now}
 	e.streams[a.request] = s
-	total := e.FirstToken + clock.Millis(a.frames())*e.TokenGap
+	total := e.FirstToken + clock.Millis(a.frames()-1)*e.TokenGap
 	s.stop = time.AfterFunc(total.Duration(), func() { e.finish(s) })
 	return s
 }
