--- a/internal/machine/assembler/events.go
+++ b/internal/machine/assembler/events.go
@@ -161,15 +161,17 @@
 }
 
 // sample decides whether a streamed answer is rated afterwards: always while its
-// model is rolled out, and for the settings' share otherwise.
-func (n *Node) sample(ask *conductor.Ask) bool {
+// model is rolled out or little is known of the version, and for the settings' share
+// otherwise.
+func (n *Node) sample(ask *conductor.Ask, version declaration.Ref) bool {
 	view := n.Keeper.View()
-	for _, v := range ask.Route.Versions {
-		model, _ := view.Model(v.Ref.Model)
-		if model.Rollout == nil {
-			continue
-		}
-		if p, found := view.Progress(v.Ref.Model); found && p.Phase == order.PhaseRunning {
+	model, _ := view.Model(version.Model)
+	if p, found := view.Progress(version.Model); found && model.Rollout != nil && p.Phase == order.PhaseRunning {
+		return true
+	}
+	if v := view.VersionOf(version); v != nil {
+		subject := tallier.Subject{Class: ask.Route.Class, Version: version}
+		if n.Estimator.Estimate(subject, v.Quality).Wants() {
 			return true
 		}
 	}
--- a/internal/machine/assembler/wire.go
+++ b/internal/machine/assembler/wire.go
@@ -184,7 +184,11 @@
 func (n *Node) wireVersions() {
 	n.Estimator = &estimator.Estimator{Clock: n.Clock, Tallier: n.Tallier}
 	n.Judge = &judge.Judge{Clock: n.Clock, ViewFunc: n.Keeper.View, Tallier: n.Tallier, OnBad: n.foundBad}
-	n.Exchanger.OnBlock = func(ref declaration.Ref, b exchanger.Block) { n.Judge.Block(ref, b.Reason, b.At) }
+	n.Exchanger.OnBlock = func(ref declaration.Ref, b exchanger.Block) {
+		if n.Judge.Block(ref, b.Reason, b.At) {
+			n.nudge() // pass urgent news on before the next round
+		}
+	}
 	n.Roller = &roller.Roller{
 		Clock: n.Clock, Store: n.outside.Store, ViewFunc: n.Keeper.View, Judge: n.Judge,
 		VersionFunc: n.progressVersion,
--- a/internal/request/conductor/conductor.go
+++ b/internal/request/conductor/conductor.go
@@ -95,8 +95,8 @@
 	OnRating func(subject tallier.Subject, rating declaration.Quality)
 	// OnRater, when set, is told whether the rating service answered.
 	OnRater func(err error)
-	// SampleFunc decides whether a streamed answer is rated afterwards.
-	SampleFunc func(ask *Ask) bool
+	// SampleFunc decides whether a streamed answer of a version is rated afterwards.
+	SampleFunc func(ask *Ask, version declaration.Ref) bool
 	// LaterFunc runs a task in the background.
 	LaterFunc func(func(ctx context.Context))
 	// OnDispatch, when set, is told of each start at a server.
@@ -165,7 +165,7 @@
 		return Answer{}, err
 	}
 	for {
-		s := &sender{pacer: p, version: version, started: started, sample: c.SampleFunc != nil && c.SampleFunc(ask)}
+		s := &sender{pacer: p, version: version, started: started, sample: c.SampleFunc != nil && c.SampleFunc(ask, version)}
 		answered, err := w.try(ctx, version, s.put, s.reset, p.AwaitEmpty)
 		if err == nil {
 			w.rateLater(version, s)
--- a/internal/version/chooser/chooser.go
+++ b/internal/version/chooser/chooser.go
@@ -149,7 +149,7 @@
 // gather lists the versions of the route that take new work and are not in tries.
 func (c *Chooser) gather(view *keeper.View, q *Question, tries []Try, out *candidates) {
 	for _, v := range q.Route.Versions {
-		current := view.VersionOf(v.Ref)
+		current := q.Route.Current(view, v)
 		if out.n == maxCandidates || current == nil || current.State != declaration.StateActive {
 			continue
 		}
@@ -159,7 +159,7 @@
 		if c.ServedFunc != nil && !c.ServedFunc(v.Ref) {
 			continue
 		}
-		if c.hiddenByRollout(view, q, v.Ref) {
+		if current.Rollout != nil && c.hiddenByRollout(view, q, v.Ref) {
 			continue
 		}
 		out.list[out.n] = c.weigh(view, q, current)
@@ -181,33 +181,30 @@
 // that of the roll-out's step.
 func (c *Chooser) weigh(view *keeper.View, q *Question, v *keeper.Version) candidate {
 	twin := v
-	if from, rolling := rolledFrom(view, v.Ref); rolling {
-		if declared := view.VersionOf(from); declared != nil {
-			twin = declared
-		}
+	if v.Rollout != nil {
+		twin = replaced(view, v)
 	}
 	subject := tallier.Subject{Class: q.Route.Class, Version: twin.Ref}
-	estimate := c.Estimator.Estimate(subject, twin.Quality)
+	estimate, later := c.Estimator.Both(subject, twin.Quality)
 	out := candidate{version: v, estimate: estimate, cost: estimate.Cost(v.Version)}
 	if q.Route.Answer == declaration.AnswerRated {
 		out.first = estimate.Pass(q.Route.Quality)
-		subject.Depth = tallier.DepthLater
-		out.later = c.Estimator.Estimate(subject, twin.Quality).Pass(q.Route.Quality)
+		out.later = later.Pass(q.Route.Quality)
 	}
 	return out
 }
 
-// rolledFrom returns the version that ref replaces in a running roll-out.
-func rolledFrom(view *keeper.View, ref declaration.Ref) (declaration.Ref, bool) {
-	model, found := view.Model(ref.Model)
-	if !found || model.Rollout == nil || model.Rollout.To != ref.Version {
-		return declaration.Ref{}, false
+// replaced returns the version that v replaces in a running roll-out, or v itself.
+func replaced(view *keeper.View, v *keeper.Version) *keeper.Version {
+	if v.Rollout.To != v.Ref.Version {
+		return v
 	}
-	progress, _ := view.Progress(ref.Model)
-	if progress.Phase == order.PhaseDone {
-		return declaration.Ref{}, false
+	progress, _ := view.Progress(v.Ref.Model)
+	from := view.VersionOf(declaration.Ref{Model: v.Ref.Model, Version: v.Rollout.From})
+	if progress.Phase == order.PhaseDone || from == nil {
+		return v
 	}
-	return declaration.Ref{Model: ref.Model, Version: model.Rollout.From}, true
+	return from
 }
 
 // hiddenByRollout reports whether the request falls to the other side of a roll-out.
--- a/internal/version/chooser/policy.go
+++ b/internal/version/chooser/policy.go
@@ -11,14 +11,23 @@
 // minLater is the least probability of success for which an escalation is worth its cost.
 const minLater = 0.08
 
-// streamed returns the cheapest version whose lower bound meets the target, or the
-// one with the highest expected rating when none does.
+// slack is how far the quality of a class must lie above its target for single
+// versions to be taken by their expected rating instead of its lower bound.
+const slack = 0.005
+
+// streamed returns the cheapest version that meets the target, or the one with the
+// highest expected rating when none does. While the class as a whole is rated below
+// or near its target, a version must meet it by the lower bound of its estimate.
+// While the class has some slack, the expected rating is enough: should it prove too
+// high, the class's rating falls and the lower bounds count again.
 func streamed(target declaration.Quality, list []candidate) *candidate {
+	bold := delivered(list) >= float64(target)+slack
 	var cheapest *candidate
 	best := &list[0]
 	for i := range list {
 		c := &list[i]
-		if c.estimate.Low >= float64(target) && (cheapest == nil || c.cost < cheapest.cost) {
+		meets := c.estimate.Low >= float64(target) || bold && c.estimate.Mean >= float64(target)
+		if meets && (cheapest == nil || c.cost < cheapest.cost) {
 			cheapest = c
 		}
 		if c.estimate.Mean > best.estimate.Mean {
@@ -31,6 +40,20 @@
 	return best
 }
 
+// delivered returns the mean rating of the class's recent answers, or 0 without any.
+func delivered(list []candidate) float64 {
+	rate, quality := 0.0, 0.0
+	for i := range list {
+		e := list[i].estimate
+		rate += e.Rate
+		quality += e.Rate * e.Mean
+	}
+	if rate == 0 {
+		return 0
+	}
+	return quality / rate
+}
+
 // cascaded returns the version to try first so that the whole cascade is expected
 // to cost least. After the first try the rest is tried in the order of cost over
 // probability of success, which is the cheapest order of independent tries.
@@ -82,18 +105,21 @@
 	return c.Clock.Now()+need <= q.Deadline
 }
 
-// exploring returns, for the route's share of requests, a cheaper version than best
-// that may meet the target but has too few ratings to tell.
+// exploring returns, for the route's share of requests, the cheaper version than best
+// that promises the highest saving: what it would save times the probability that it
+// meets the target.
 func (c *Chooser) exploring(q *Question, list []candidate, best *candidate) *candidate {
 	if q.Route.Explore <= 0 || c.random()*100 >= float64(q.Route.Explore) {
 		return best
 	}
-	target := float64(q.Route.Quality)
-	pick := best
+	pick, promise := best, 0.0
 	for i := range list {
 		e := list[i].estimate
-		if list[i].cost < best.cost && e.High >= target && (pick == best || e.Samples < pick.estimate.Samples) {
-			pick = &list[i]
+		if list[i].cost >= best.cost || e.High < float64(q.Route.Quality) {
+			continue
+		}
+		if p := (best.cost - list[i].cost) * e.Meets(q.Route.Quality); p > promise {
+			pick, promise = &list[i], p
 		}
 	}
 	return pick
--- a/internal/version/estimator/estimator.go
+++ b/internal/version/estimator/estimator.go
@@ -21,6 +21,9 @@
 	doubt = 1.64
 	// priorTokens is the number of tokens of a prompt and of an answer before any is counted.
 	priorTokens = 200.0
+	// wantedSamples is the weighted number of ratings up to which every answer should
+	// be rated.
+	wantedSamples = 150.0
 	// refreshEvery is the least time between two computations.
 	refreshEvery clock.Millis = 250
 )
@@ -37,6 +40,8 @@
 	High float64 `json:"high"`
 	// Deviation is the spread of single ratings.
 	Deviation float64 `json:"deviation"`
+	// Rate is the number of answers in a minute.
+	Rate float64 `json:"rate"`
 	// PromptTokens and AnswerTokens are means per answer.
 	PromptTokens float64 `json:"prompt-tokens"`
 	AnswerTokens float64 `json:"answer-tokens"`
@@ -45,18 +50,35 @@
 	// Took is the mean time of a whole answer in milliseconds; 0 when unknown.
 	Took float64 `json:"took-ms"`
 
-	sum      tallier.Sum
 	declared float64
+	// pass holds Pass at the lower edge of each bin and at 1.
+	pass [tallier.RatingBins + 1]float64
 }
 
 // Pass returns the probability that an answer is rated at or above target.
 func (e *Estimate) Pass(target declaration.Quality) float64 {
-	prior := normalAbove(e.declared, priorDeviation, float64(target))
-	seen := 0.0
-	if e.Samples > 0 {
-		seen = e.sum.Share(target)
+	at := min(max(float64(target), 0), 1) * tallier.RatingBins
+	low := min(int(at), tallier.RatingBins-1)
+	part := at - float64(low)
+	return e.pass[low]*(1-part) + e.pass[low+1]*part
+}
+
+// fillPass computes Pass at the edges of the bins.
+func (e *Estimate) fillPass(sum *tallier.Sum) {
+	for i := range e.pass {
+		target := float64(i) / tallier.RatingBins
+		prior := normalAbove(e.declared, priorDeviation, target)
+		seen := 0.0
+		if e.Samples > 0 {
+			seen = sum.Share(declaration.Quality(target))
+		}
+		e.pass[i] = e.Answered * (prior*priorWeight + seen*e.Samples) / (priorWeight + e.Samples)
 	}
-	return e.Answered * (prior*priorWeight + seen*e.Samples) / (priorWeight + e.Samples)
+}
+
+// Meets returns the probability that the expected rating is at or above target.
+func (e *Estimate) Meets(target declaration.Quality) float64 {
+	return normalAbove(e.Mean, max((e.High-e.Mean)/doubt, 1e-6), float64(target))
 }
 
 // normalAbove returns the probability that a normal variable is at or above x.
@@ -64,6 +86,10 @@
 	return 0.5 * math.Erfc((x-mean)/(deviation*math.Sqrt2))
 }
 
+// Wants reports whether every answer should be rated, because the estimate rests on
+// few ratings.
+func (e *Estimate) Wants() bool { return e.Samples < wantedSamples }
+
 // Cost returns the expected price of an answer.
 func (e *Estimate) Cost(v declaration.Version) float64 {
 	return (e.PromptTokens*float64(v.PromptPrice) + e.AnswerTokens*float64(v.AnswerPrice)) / 1000
@@ -78,23 +104,39 @@
 	cache atomic.Pointer[map[tallier.Subject]*entry]
 }
 
+// entry holds the estimates of a version as the first try and as a later one.
 type entry struct {
-	estimate Estimate
-	at       clock.Millis
+	first, later Estimate
+	at           clock.Millis
 }
 
 // Estimate returns the estimate of a subject whose version is declared with the given quality.
 func (e *Estimator) Estimate(s tallier.Subject, declared declaration.Quality) *Estimate {
+	depth := s.Depth
+	s.Depth = tallier.DepthFirst
+	first, later := e.Both(s, declared)
+	if depth == tallier.DepthLater {
+		return later
+	}
+	return first
+}
+
+// Both returns the estimates of a version as the first try and after another fell
+// short. s names the first.
+func (e *Estimator) Both(s tallier.Subject, declared declaration.Quality) (first, later *Estimate) {
 	now := e.Clock.Now()
 	if cache := e.cache.Load(); cache != nil {
 		held := (*cache)[s]
-		if held != nil && now-held.at < refreshEvery && held.estimate.declared == float64(declared) {
-			return &held.estimate
+		if held != nil && now-held.at < refreshEvery && held.first.declared == float64(declared) {
+			return &held.first, &held.later
 		}
 	}
-	fresh := &entry{estimate: e.compute(s, declared), at: now}
+	fresh := &entry{first: e.compute(s, declared), at: now}
+	after := s
+	after.Depth = tallier.DepthLater
+	fresh.later = e.compute(after, declared)
 	e.store(s, fresh)
-	return &fresh.estimate
+	return &fresh.first, &fresh.later
 }
 
 // store replaces the cache by a copy with one entry changed, so that readers need no lock.
@@ -115,7 +157,7 @@
 	sum := e.Tallier.Recent(s)
 	n, mean := sum.Rated()
 	total := n + priorWeight
-	out := Estimate{Samples: n, sum: sum, declared: float64(declared)}
+	out := Estimate{Samples: n, declared: float64(declared)}
 	out.Mean = (mean*n + float64(declared)*priorWeight) / total
 	variance := (sum.Deviation(n, mean)*sum.Deviation(n, mean)*n + priorDeviation*priorDeviation*priorWeight) / total
 	out.Deviation = math.Sqrt(variance)
@@ -131,5 +173,7 @@
 		out.Took = sum.Took / sum.Answers
 	}
 	_, out.Delay = sum.MedianDelay()
+	out.Rate = sum.Answers / float64(max(sum.Buckets, 1))
+	out.fillPass(&sum)
 	return out
 }
--- a/internal/version/tallier/tallier.go
+++ b/internal/version/tallier/tallier.go
@@ -7,7 +7,6 @@
 package tallier
 
 import (
-	"math"
 	"sync"
 
 	"example.com/dotterelwell/declaration"
@@ -50,8 +49,9 @@
 	BucketSpan = 1 * clock.Minute
 	// keepBuckets is the number of buckets that are kept.
 	keepBuckets = 60
-	// halfLife is the age, in buckets, at which a rating counts half in estimates.
-	halfLife = 10.0
+	// enoughRatings and enoughAnswers are the numbers from which older buckets are left out.
+	enoughRatings = 400
+	enoughAnswers = 400
 )
 
 // Tallier holds the tallies of all processes. Set the exported fields before use.
@@ -191,11 +191,31 @@
 	})
 }
 
-// Recent returns the tallies of a subject over all processes, older ones with less weight.
+// Recent returns the newest tallies of a subject over all processes: as many whole
+// buckets as hold enough ratings and answers. A version that is used much is thereby
+// judged by the last minutes, and one that is used little by the last hour.
 func (t *Tallier) Recent(s Subject) Sum {
-	return t.sum(s, func(bucket, now int64) float64 {
-		return math.Exp2(-float64(max(now-bucket, 0)) / halfLife)
-	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var byAge [keepBuckets + 1]Sum
+	now := t.bucket()
+	for key, held := range t.tallies[s] {
+		if age := max(now-key.Bucket, 0); age <= keepBuckets {
+			byAge[age].Add(&held.Tally, 1)
+		}
+	}
+	var total Sum
+	rated := 0.0
+	for i := range byAge {
+		if rated >= enoughRatings && total.Answers >= enoughAnswers {
+			break
+		}
+		total.Join(&byAge[i])
+		total.Buckets++
+		n, _ := byAge[i].Rated()
+		rated += n
+	}
+	return total
 }
 
 func (t *Tallier) sum(s Subject, weight func(bucket, now int64) float64) Sum {
--- a/internal/version/tallier/tally.go
+++ b/internal/version/tallier/tally.go
@@ -83,6 +83,8 @@
 	PromptTokens, AnswerTokens float64
 	// Took is in milliseconds.
 	Took float64
+	// Buckets is the number of buckets that a sum of recent tallies spans.
+	Buckets int
 }
 
 // Add adds a tally with a weight.
@@ -100,6 +102,21 @@
 	s.Took += weight * float64(t.Took)
 }
 
+// Join adds another sum.
+func (s *Sum) Join(other *Sum) {
+	s.Answers += other.Answers
+	s.Errors += other.Errors
+	for i, n := range other.Ratings {
+		s.Ratings[i] += n
+	}
+	for i, n := range other.Delays {
+		s.Delays[i] += n
+	}
+	s.PromptTokens += other.PromptTokens
+	s.AnswerTokens += other.AnswerTokens
+	s.Took += other.Took
+}
+
 // Rated returns the number of ratings and their mean; the mean is 0 without any.
 func (s *Sum) Rated() (n, mean float64) {
 	total := 0.0
--- a/internal/zone/keeper/parts.go
+++ b/internal/zone/keeper/parts.go
@@ -117,6 +117,10 @@
 		if _, withdrawn := p.withdrawals[ref.String()]; withdrawn {
 			state = declaration.StateWithdrawn
 		}
-		v.versions[ref] = &Version{Version: declared, Ref: ref, State: state}
+		version := &Version{Version: declared, Ref: ref, State: state}
+		if r := m.Rollout; r != nil && (r.From == declared.Name || r.To == declared.Name) {
+			version.Rollout = r
+		}
+		v.versions[ref] = version
 	}
 }
--- a/internal/zone/keeper/view.go
+++ b/internal/zone/keeper/view.go
@@ -29,6 +29,8 @@
 	declaration.Version
 	Ref   declaration.Ref
 	State declaration.State
+	// Rollout is the model's roll-out when this version is one side of it, or nil.
+	Rollout *declaration.Rollout
 }
 
 // Workspace is a declared workspace with its routes resolved.
@@ -42,6 +44,16 @@
 	declaration.Route
 	Workspace declaration.WorkspaceName
 	Versions  []*Version
+
+	view *View
+}
+
+// Current returns a version of the route as it is in the view, or nil.
+func (r *Route) Current(view *View, v *Version) *Version {
+	if r.view == view {
+		return v
+	}
+	return view.versions[v.Ref]
 }
 
 // Empty reports whether nothing has been declared.
@@ -126,7 +138,7 @@
 }
 
 func (v *View) resolve(w *Workspace, declared declaration.Route) *Route {
-	route := &Route{Route: declared, Workspace: w.Name}
+	route := &Route{Route: declared, Workspace: w.Name, view: v}
 	for _, version := range v.versions {
 		if covers(declared.Models, version.Ref) && w.Allows(version.Ref) {
 			route.Versions = append(route.Versions, version)
