--- a/internal/request/biller/biller.go
+++ b/internal/request/biller/biller.go
@@ -134,11 +134,7 @@
 // Record takes in a record and waits until it is safe. On KindAtRisk the record is
 // kept and will be written, but would be lost with this process.
 func (b *Biller) Record(ctx context.Context, r bill.Record) error {
-	b.mu.Lock()
-	b.last++
-	seq := b.last
-	b.open = append(b.open, r)
-	b.mu.Unlock()
+	seq := b.Add(r)
 	expired, stop := b.Clock.After(safeTimeout)
 	defer stop()
 	for {
@@ -160,6 +156,15 @@
 	}
 }
 
+// Add takes in a record without waiting until it is safe.
+func (b *Biller) Add(r bill.Record) Sequence {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.last++
+	b.open = append(b.open, r)
+	return b.last
+}
+
 func (b *Biller) changedLocked() <-chan struct{} {
 	if b.changed == nil {
 		b.changed = make(chan struct{})
--- a/internal/request/billholder/billholder.go
+++ b/internal/request/billholder/billholder.go
@@ -28,6 +28,9 @@
 // Error is the package's error type.
 type Error = fault.Error[Kind]
 
+// segmentRecords is the number of records in one segment that is written for another.
+const segmentRecords = 4096
+
 // defaultLimit bounds the records held for others.
 const defaultLimit = 400_000
 
@@ -114,52 +117,68 @@
 func (h *Holder) TakeOver(ctx context.Context, owner ident.Incarnation) (int, error) {
 	h.mu.Lock()
 	o := h.owners[owner]
-	if o == nil {
+	if o == nil || len(o.parts) == 0 {
+		delete(h.owners, owner)
 		h.mu.Unlock()
 		return 0, nil
 	}
-	parts := append([]biller.Batch(nil), o.parts...)
+	all := joined(owner, o.parts)
 	h.mu.Unlock()
 	total := 0
-	for _, p := range parts {
-		n, err := h.write(ctx, p)
-		if err != nil {
+	for len(all.Records) > 0 {
+		n := min(len(all.Records), segmentRecords)
+		if err := h.write(ctx, owner, all.First, all.Records[:n]); err != nil {
 			return total, err
 		}
 		total += n
-		h.drop(owner, p.First)
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if len(o.parts) == 0 {
-		delete(h.owners, owner)
+		all.First += biller.Sequence(n)
+		all.Records = all.Records[n:]
+		h.settle(owner, all.First-1)
 	}
 	return total, nil
 }
 
-func (h *Holder) write(ctx context.Context, p biller.Batch) (int, error) {
+// joined puts the records of batches, which may overlap, in one batch.
+func joined(owner ident.Incarnation, parts []biller.Batch) biller.Batch {
+	all := biller.Batch{Owner: owner}
+	for _, p := range parts {
+		if len(all.Records) == 0 {
+			all.First = p.First
+		}
+		next := all.First + biller.Sequence(len(all.Records))
+		if skip := int(next) - int(p.First); skip >= 0 && skip < len(p.Records) {
+			all.Records = append(all.Records, p.Records[skip:]...)
+		} else if skip < 0 {
+			return all // the rest goes with the next call
+		}
+	}
+	return all
+}
+
+func (h *Holder) write(ctx context.Context, owner ident.Incarnation, first biller.Sequence, records []bill.Record) error {
 	const op = "write held segment"
-	value, err := bill.Encode(bill.Segment{Owner: p.Owner, Records: p.Records})
+	value, err := bill.Encode(bill.Segment{Owner: owner, Records: records})
 	if err != nil {
-		return 0, fault.New(op, KindUnavailable, err)
+		return fault.New(op, KindUnavailable, err)
 	}
-	name := fmt.Sprintf("%s-held-%d-%d", p.Owner, p.First, len(p.Records))
-	_, err = h.Store.Put(ctx, bill.Kind(p.Records[0].At), name, value, storer.Precondition{Absent: true})
+	name := fmt.Sprintf("%s-held-%d-%d", owner, first, len(records))
+	_, err = h.Store.Put(ctx, bill.Kind(records[0].At), name, value, storer.Precondition{Absent: true})
 	if err != nil && storer.KindOf(err) != storer.KindConflict {
-		return 0, fault.New(op, KindUnavailable, err)
+		return fault.New(op, KindUnavailable, err)
 	}
-	return len(p.Records), nil
+	return nil
 }
 
-func (h *Holder) drop(owner ident.Incarnation, first biller.Sequence) {
+// settle forgets an owner's records up to a number, and the owner when none is left.
+func (h *Holder) settle(owner ident.Incarnation, durable biller.Sequence) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	o := h.owners[owner]
-	for i, p := range o.parts {
-		if p.First == first {
-			h.total -= len(p.Records)
-			o.parts = append(o.parts[:i], o.parts[i+1:]...)
-			return
-		}
+	if o == nil {
+		return
+	}
+	h.forget(o, durable)
+	if len(o.parts) == 0 {
+		delete(h.owners, owner)
 	}
 }
