Control within its budget; three random choices

Cause: control sent 62, 221 and 324 KB/s an instance at 8, 50 and 400 peers: tallies went out whole, each passed on by everyone to everyone, twice a second, over ever new connections. Change: sparse tallies; in a full mesh each instance sends its own only; tallies outside roll-outs every 10 s; above 8 peers a round pulls from 2 of 6 steady neighbours, with a stranger every tenth; rounds of 1 s, with a nudge for configuration changes.

--- a/internal/link/enroller/enroller.go
+++ b/internal/link/enroller/enroller.go
@@ -30,7 +30,7 @@
 	// goneAfter is the silence after which a process counts as gone.
 	goneAfter = 30 * clock.Second
 	// slowPresence is the number of instances from which presence is told less often.
-	slowPresence = 40
+	slowPresence = 20
 )
 
 // Peer is another entry instance.
--- a/internal/link/exchanger/bench_test.go
+++ b/internal/link/exchanger/bench_test.go
@@ -100,7 +100,7 @@
 		p.enroller.Apply(all)
 		go func() { _ = p.exchanger.Run(ctx) }() // it ends with the context
 	}
-	const warm, span = 4 * time.Second, 6 * time.Second
+	const warm, span = 15 * time.Second, 10 * time.Second
 	for range b.N {
 		time.Sleep(warm)
 		start, bytes := processorTime(), traffic(peers)
--- a/internal/link/exchanger/exchanger.go
+++ b/internal/link/exchanger/exchanger.go
@@ -7,10 +7,12 @@
 package exchanger
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 
 	"example.com/dotterelwell/declaration"
@@ -18,6 +20,7 @@
 	"example.com/dotterelwell/internal/link/chronicler"
 	"example.com/dotterelwell/internal/link/connector"
 	"example.com/dotterelwell/internal/link/enroller"
+	"example.com/dotterelwell/internal/link/hasher"
 	"example.com/dotterelwell/internal/link/spreader"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
@@ -42,16 +45,24 @@
 	// callTimeout bounds a pull.
 	callTimeout = 1 * clock.Second
 	// roundEvery is the time between two rounds.
-	roundEvery clock.Millis = 500
+	roundEvery = 1 * clock.Second
+	// calmEvery is the time between two pulls of tallies that nothing waits for.
+	calmEvery = 10 * clock.Second
 	// allPeers is the number of peers up to which a round pulls from every one.
 	allPeers = 8
-	// fanOut is the number of peers of a round when there are more.
-	fanOut = 3
+	// neighbours is the number of peers that an instance pulls from when there are
+	// more, and fanOut the number of them in each round.
+	neighbours = 6
+	fanOut     = 2
+	// strangerEvery is the number of rounds after which a round takes a random peer.
+	strangerEvery = 10
 	// nudgeFanOut bounds the peers of a nudge outside the own region.
 	nudgeFanOut = 8
 	// maxFacts and maxTallies bound one answer.
 	maxFacts   = 1024
 	maxTallies = 256
+	// maxPassedTallies bounds them where instances pass on one another's.
+	maxPassedTallies = 12
 	// usageAge is how long a peer's statement of usage counts.
 	usageAge = 60 * clock.Second
 )
@@ -72,6 +83,8 @@
 	// ClaimFunc and HoldFunc serve the peers' calls.
 	ClaimFunc func(ctx context.Context, shard int, entries []claim.Entry) ([]claimer.Verdict, error)
 	HoldFunc  func(biller.Batch) error
+	// UrgentFunc reports whether tallies of a version are needed at once.
+	UrgentFunc func(declaration.Ref) bool
 	// StatusFunc describes this instance.
 	StatusFunc func() Status
 
@@ -86,7 +99,8 @@
 	pulling  map[ident.Instance]bool
 	again    map[ident.Instance]bool
 	spokenAt clock.Millis
-	spoken   clock.Millis
+	calmAt   map[ident.Instance]clock.Millis
+	rounds   int
 }
 
 // Open prepares the tables. It must be called before any other method.
@@ -101,6 +115,7 @@
 	x.usedAt = map[UsageKey]clock.Millis{}
 	x.pulling = map[ident.Instance]bool{}
 	x.again = map[ident.Instance]bool{}
+	x.calmAt = map[ident.Instance]clock.Millis{}
 }
 
 func (x *Exchanger) sender() Sender {
@@ -145,20 +160,42 @@
 
 // Round pulls from the peers of one round and waits for them.
 func (x *Exchanger) Round(ctx context.Context) {
+	x.rounds++
 	var pulls sync.WaitGroup
-	for _, p := range x.pick(x.Enroller.Peers(), fanOut) {
+	for _, p := range x.partners(x.Enroller.Peers()) {
 		pulls.Go(func() { x.Pull(ctx, p) })
 	}
 	pulls.Wait()
 }
 
-// pick returns all peers when they are few and a random choice of n otherwise.
-func (x *Exchanger) pick(peers []enroller.Peer, n int) []enroller.Peer {
+// partners returns the peers of a round: all when they are few, and otherwise some of
+// a few steady neighbours, whose connections stay open, and now and then a stranger,
+// so that news crosses between any two groups.
+func (x *Exchanger) partners(peers []enroller.Peer) []enroller.Peer {
 	if len(peers) <= allPeers {
 		return peers
 	}
+	if x.rounds%strangerEvery == 0 {
+		return x.pick(peers, 1)
+	}
+	slices.SortFunc(peers, func(a, b enroller.Peer) int { return cmp.Compare(x.nearness(b), x.nearness(a)) })
+	chosen := make([]enroller.Peer, 0, fanOut)
+	for i := range fanOut {
+		chosen = append(chosen, peers[(x.rounds*fanOut+i)%neighbours])
+	}
+	return chosen
+}
+
+var neighbourHash = hasher.Hasher{Salt: "neighbour"}
+
+func (x *Exchanger) nearness(p enroller.Peer) uint64 {
+	return neighbourHash.Score(string(x.Instance), string(p.Instance))
+}
+
+// pick returns a random choice of n peers.
+func (x *Exchanger) pick(peers []enroller.Peer, n int) []enroller.Peer {
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:n]
+	return peers[:min(n, len(peers))]
 }
 
 // Pull asks one peer for news and merges the answer. A call while a pull from the
@@ -187,10 +224,15 @@
 }
 
 func (x *Exchanger) pullOnce(ctx context.Context, p enroller.Peer) {
+	now := x.Clock.Now()
 	x.mu.Lock()
 	cursor := x.cursors[p.Instance]
+	calm := now-x.calmAt[p.Instance] >= calmEvery
+	if calm {
+		x.calmAt[p.Instance] = now
+	}
 	x.mu.Unlock()
-	args := Pull{From: x.sender(), Cursor: cursor, Config: x.Keeper.Complete()}
+	args := Pull{From: x.sender(), Cursor: cursor, Config: x.Keeper.Complete(), Calm: calm}
 	var news News
 	if err := x.call(ctx, p.Address, "Pull", args, &news); err != nil {
 		return // the next round tries again
@@ -289,7 +331,7 @@
 		}
 		others = append(others, p)
 	}
-	return append(own, x.pick(others, min(nudgeFanOut, len(others)))...)
+	return append(own, x.pick(others, nudgeFanOut)...)
 }
 
 // Forward hands claims to a shard's holder.
--- a/internal/link/exchanger/message.go
+++ b/internal/link/exchanger/message.go
@@ -25,8 +25,10 @@
 // Cursor tells how much of a peer's tables has been read.
 type Cursor struct {
 	// Of is the process whose serials these are.
-	Of                                     ident.Incarnation
-	Warmth, Usage, Blocks, Presence, Tally uint64
+	Of                              ident.Incarnation
+	Warmth, Usage, Blocks, Presence uint64
+	// Urgent and Calm are for tallies of versions in a roll-out and of all others.
+	Urgent, Calm uint64
 }
 
 // Pull asks a peer for news.
@@ -35,6 +37,8 @@
 	Cursor Cursor
 	// Config is the store version up to which the sender's configuration is complete.
 	Config ident.StoreVersion
+	// Calm asks for the tallies of versions that are in no roll-out, too.
+	Calm bool
 }
 
 // Usage is the number of requests that an instance has at a cold server.
--- a/internal/link/exchanger/service.go
+++ b/internal/link/exchanger/service.go
@@ -6,6 +6,7 @@
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/link/spreader"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/version/tallier"
 )
 
 // serviceName is the name of the peers' service in net/rpc.
@@ -40,7 +41,7 @@
 	cursor.Blocks = uint64(at)
 	reply.Presence, at = x.Presence.Since(spreader.Serial(cursor.Presence), maxFacts)
 	cursor.Presence = uint64(at)
-	reply.Tallies, cursor.Tally = x.Tallier.Since(cursor.Tally, maxTallies)
+	s.addTallies(args.Calm, &cursor, reply)
 	reply.Cursor = cursor
 	if args.Config > x.Keeper.Complete() {
 		s.pullBack(args.From)
@@ -48,6 +49,26 @@
 	return nil
 }
 
+// addTallies adds tallies of versions in a roll-out and, when asked, of all others.
+// Where every instance pulls from every other, each sends only its own.
+func (s *Service) addTallies(calm bool, cursor *Cursor, reply *News) {
+	x := s.exchanger
+	meshed := len(x.Enroller.Peers()) <= allPeers
+	pass := func(key tallier.Key) bool { return !meshed || key.Owner == x.Incarnation }
+	urgent := func(key tallier.Key) bool { return x.UrgentFunc != nil && x.UrgentFunc(key.Subject.Version) }
+	most := maxTallies
+	if !meshed {
+		most = maxPassedTallies
+	}
+	reply.Tallies, cursor.Urgent = x.Tallier.Since(cursor.Urgent, most, func(key tallier.Key) bool { return pass(key) && urgent(key) })
+	if !calm {
+		return
+	}
+	rest, serial := x.Tallier.Since(cursor.Calm, most, func(key tallier.Key) bool { return pass(key) && !urgent(key) })
+	reply.Tallies = append(reply.Tallies, rest...)
+	cursor.Calm = serial
+}
+
 // boundConfig cuts changes to a bounded size, with the version that is then complete.
 func boundConfig(c storer.Changes) storer.Changes {
 	size := 0
--- a/internal/machine/assembler/events.go
+++ b/internal/machine/assembler/events.go
@@ -40,6 +40,9 @@
 	if n.Admitter == nil {
 		return
 	}
+	if n.watches() {
+		n.nudge()
+	}
 	n.mu.Lock()
 	back := n.zonesBack(v)
 	n.mu.Unlock()
--- a/internal/machine/assembler/wire.go
+++ b/internal/machine/assembler/wire.go
@@ -13,6 +13,7 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/bill"
 	"example.com/dotterelwell/internal/contract/chat"
+	"example.com/dotterelwell/internal/contract/order"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/link/chronicler"
 	"example.com/dotterelwell/internal/link/connector"
@@ -61,7 +62,7 @@
 	n.Exchanger = &exchanger.Exchanger{
 		Clock: n.Clock, Instance: n.Settings.Instance, Incarnation: n.Incarnation,
 		Connector: n.Connector, Enroller: n.Enroller, Keeper: n.Keeper, Chronicler: n.Chronicler, Tallier: n.Tallier,
-		StatusFunc: n.Status,
+		StatusFunc: n.Status, UrgentFunc: n.rolling,
 	}
 	n.Exchanger.Open()
 	return nil
@@ -122,7 +123,7 @@
 func (n *Node) wireFleet() {
 	n.Watcher = &watcher.Watcher{
 		Clock: n.Clock, Store: n.outside.Store, Keeper: n.Keeper,
-		DutyFunc: func() bool { return n.Enroller.Among("watch-config", configWatchers) },
+		DutyFunc: n.watches,
 		OnAnswer: n.storeAnswered,
 	}
 	n.Warmer = &warmer.Warmer{
@@ -155,6 +156,9 @@
 	})
 }
 
+// watches reports whether this instance watches the store for its zone.
+func (n *Node) watches() bool { return n.Enroller.Among("watch-config", configWatchers) }
+
 func (n *Node) warmingDuty(server ident.Server) warmer.Duty {
 	held, since := n.Enroller.Guarded("warm/" + string(server))
 	return warmer.Duty{Held: held, Since: since}
@@ -208,6 +212,17 @@
 	}
 }
 
+// rolling reports whether a version is a side of a roll-out that is under way.
+func (n *Node) rolling(ref declaration.Ref) bool {
+	view := n.Keeper.View()
+	v := view.VersionOf(ref)
+	if v == nil || v.Rollout == nil {
+		return false
+	}
+	p, found := view.Progress(ref.Model)
+	return found && p.Phase == order.PhaseRunning
+}
+
 // foundBad spreads and records that this instance found a version bad.
 func (n *Node) foundBad(ref declaration.Ref, reason string) {
 	n.Meter.VersionsBad.Inc()
--- a/internal/request/picker/bench_test.go
+++ b/internal/request/picker/bench_test.go
@@ -45,10 +45,10 @@
 // at 70, 90 and 110% of what the servers bear.
 func BenchmarkPolicies(b *testing.B) {
 	for _, load := range []int{70, 90, 110} {
-		for _, policy := range []picker.Policy{picker.PolicyTwoChoices, picker.PolicyRandom, picker.PolicyRoundRobin, picker.PolicyLeast} {
+		for _, policy := range []picker.Policy{picker.PolicyDrawn, picker.PolicyRandom, picker.PolicyRoundRobin, picker.PolicyLeast} {
 			name := string(policy)
 			if name == "" {
-				name = "two-choices"
+				name = "three-choices"
 			}
 			b.Run(fmt.Sprintf("%s/load=%d", name, load), func(b *testing.B) {
 				for range b.N {
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -3,14 +3,14 @@
 
 import "math/rand/v2"
 
-// Policy names a way to choose. The zero value is PolicyTwoChoices.
+// Policy names a way to choose. The zero value is PolicyDrawn.
 type Policy string
 
 // Policies. The last three are baselines for measurements.
 const (
-	// PolicyTwoChoices takes the less loaded of two random candidates, those of
-	// the own zone first, and follows prefix affinity within a load bound.
-	PolicyTwoChoices Policy = ""
+	// PolicyDrawn takes the cheapest of three random candidates by load, delay and
+	// zone, and follows prefix affinity within a load bound.
+	PolicyDrawn      Policy = ""
 	PolicyRandom     Policy = "random"
 	PolicyRoundRobin Policy = "round-robin"
 	PolicyLeast      Policy = "least-in-flight"
@@ -31,15 +31,13 @@
 }
 
 const (
-	// zoneRoom is the load up to which servers of the own zone are preferred.
-	zoneRoom = 0.75
 	// affinityRoom is how far above the mean load an affine server may be.
 	affinityRoom = 1.25
 	// affinityCeiling is the load above which affinity is ignored.
 	affinityCeiling = 0.85
 )
 
-// Picker chooses servers. Its zero value uses PolicyTwoChoices and a random source
+// Picker chooses servers. Its zero value uses PolicyDrawn and a random source
 // of the runtime. It is not safe for concurrent use.
 type Picker struct {
 	Policy Policy
@@ -69,7 +67,7 @@
 			return i
 		}
 	}
-	return p.twoChoices(candidates)
+	return p.drawn(candidates)
 }
 
 func (p *Picker) random(n int) int {
@@ -106,40 +104,29 @@
 	return best
 }
 
-// twoChoices draws twice, from the own zone while a candidate there has room.
-func (p *Picker) twoChoices(candidates []Candidate) int {
-	local := 0
-	for _, c := range candidates {
-		if c.SameZone && c.Load < zoneRoom {
-			local++
-		}
-	}
-	draw := func() int { return p.random(len(candidates)) }
-	if local > 0 {
-		draw = func() int { return nthLocal(candidates, p.random(local)) }
-	}
-	a, b := draw(), draw()
-	if cost(candidates[b]) < cost(candidates[a]) {
-		return b
-	}
-	return a
-}
+// choices is the number of candidates that are drawn and compared.
+const choices = 3
 
-func nthLocal(candidates []Candidate, n int) int {
-	for i, c := range candidates {
-		if !c.SameZone || c.Load >= zoneRoom {
-			continue
-		}
-		if n == 0 {
-			return i
+// remoteCost is what a server of another zone costs more than one of the own.
+const remoteCost = 0.1
+
+// drawn takes the cheapest of a few random candidates.
+func (p *Picker) drawn(candidates []Candidate) int {
+	best := p.random(len(candidates))
+	for range choices - 1 {
+		if i := p.random(len(candidates)); cost(candidates[i]) < cost(candidates[best]) {
+			best = i
 		}
-		n--
 	}
-	return 0
+	return best
 }
 
-// cost orders candidates: a loaded or slow server costs more.
+// cost orders candidates: a loaded, slow or remote server costs more.
 func cost(c Candidate) float64 {
 	delay := max(c.Delay, 1)
-	return (c.Load + 0.05) * delay
+	total := (c.Load + 0.05) * delay
+	if !c.SameZone {
+		total += remoteCost
+	}
+	return total
 }
--- a/internal/standin/workload/bench_test.go
+++ b/internal/standin/workload/bench_test.go
@@ -49,8 +49,11 @@
 func BenchmarkExposure(b *testing.B) {
 	const seeds, most = 10, 60_000
 	for _, bad := range []workload.Badness{
-		{Name: "quality-10", QualityDrop: 0.10}, {Name: "quality-30", QualityDrop: 0.30},
-		{Name: "errors-5", ErrorRise: 0.05}, {Name: "errors-50", ErrorRise: 0.50}, {Name: "slow-x3", Slower: 3},
+		{Name: "quality-10", QualityDrop: 0.10},
+		{Name: "quality-30", QualityDrop: 0.30},
+		{Name: "errors-5", ErrorRise: 0.05},
+		{Name: "errors-50", ErrorRise: 0.50},
+		{Name: "slow-x3", Slower: 3},
 	} {
 		for _, spread := range []workload.Spread{workload.SpreadExchange, workload.SpreadNone, workload.SpreadWindow} {
 			for _, instances := range []int{1, 8, 400} {
--- a/internal/standin/workload/rollout.go
+++ b/internal/standin/workload/rollout.go
@@ -39,7 +39,7 @@
 const (
 	perInstance  = 80 // requests a second
 	newShare     = 0.1
-	roundSpan    = 500 * clock.Millis(1)
+	roundSpan    = 1000 * clock.Millis(1)
 	nudgeSpan    = 50 * clock.Millis(1)
 	stepSpan     = 50 * clock.Millis(1)
 	nudgePeers   = 8
@@ -233,7 +233,7 @@
 			if n > nudgePeers {
 				peer = r.rng.IntN(n)
 			}
-			entries, serial := r.instances[peer].tallier.Since(j.serials[peer], 256)
+			entries, serial := r.instances[peer].tallier.Since(j.serials[peer], 256, nil)
 			j.serials[peer] = serial
 			for _, e := range entries {
 				j.tallier.Merge(e)
--- a/internal/standin/workload/workload.go
+++ b/internal/standin/workload/workload.go
@@ -322,4 +322,3 @@
 	}
 	return declaration.Ref{}, false
 }
-
--- a/internal/version/tallier/tallier.go
+++ b/internal/version/tallier/tallier.go
@@ -161,9 +161,9 @@
 	return true
 }
 
-// Since returns at most most tallies that changed after serial, the earliest
-// changes first, and the serial up to which the result is complete.
-func (t *Tallier) Since(serial uint64, most int) ([]Entry, uint64) {
+// Since returns at most most tallies that changed after serial and that keep selects,
+// the earliest changes first, and the serial up to which the result is complete.
+func (t *Tallier) Since(serial uint64, most int, keep func(Key) bool) ([]Entry, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if serial >= t.serial {
@@ -172,7 +172,7 @@
 	var changed []changedEntry
 	for _, row := range t.tallies {
 		for key, held := range row {
-			if held.serial > serial {
+			if held.serial > serial && (keep == nil || keep(key)) {
 				changed = append(changed, changedEntry{Entry{Key: key, Tally: held.Tally}, held.serial})
 			}
 		}
