--- /dev/null
+++ b/internal/link/connector/connector_test.go
@@ -0,0 +1,114 @@
+package connector_test
+
+import (
+	"context"
+	"net/rpc"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"example.com/dotterelwell/internal/link/connector"
+	"example.com/dotterelwell/internal/machine/fault"
+	"example.com/dotterelwell/internal/standin/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Echo is a service for tests.
+type Echo struct{}
+
+// Say answers with what it gets.
+func (Echo) Say(in string, out *string) error {
+	*out = in
+	return nil
+}
+
+// start serves Echo with a key and returns a client with another.
+func start(t *testing.T, network *wire.Network, serverKey, clientKey string) *connector.Connector {
+	t.Helper()
+	listener, err := network.Listen("10.0.0.1:81")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer()
+	if err := server.Register(Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	serving := &connector.Connector{Key: []byte(serverKey)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = serving.Serve(listener, server) // it ends when the listener closes
+	}()
+	client := &connector.Connector{Key: []byte(clientKey), DialFunc: network.Dialer("10.0.0.2")}
+	t.Cleanup(func() {
+		client.Close()
+		_ = listener.Close() // it ends Serve
+		serving.Close()
+		<-done
+	})
+	return client
+}
+
+func say(c *connector.Connector, text string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var out string
+	err := c.Call(ctx, "10.0.0.1:81", "Echo.Say", text, &out)
+	return out, err
+}
+
+// TestKeys lets peers with the shared key in and nobody else.
+func TestKeys(t *testing.T) {
+	for _, tt := range []struct {
+		name, server, client string
+		in                   bool
+	}{
+		{"same key", "secret", "secret", true},
+		{"no key on either side", "", "", true},
+		{"wrong key", "secret", "guess", false},
+		{"client without a key", "secret", "", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := start(t, &wire.Network{}, tt.server, tt.client)
+				out, err := say(c, "hello")
+				if tt.in != (err == nil && out == "hello") {
+					t.Errorf("answer %q, error %v, want in %v", out, err, tt.in)
+				}
+			})
+		})
+	}
+}
+
+// TestSilentConnection gives up a silent connection after the timeout and succeeds
+// over a new one.
+func TestSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &wire.Network{}
+		c := start(t, network, "k", "k")
+		if _, err := say(c, "one"); err != nil {
+			t.Fatal(err)
+		}
+		network.Silence(func(string, string) bool { return true })
+		if _, err := say(c, "two"); fault.KindOf[connector.Kind](err) != connector.KindTimeout {
+			t.Errorf("error %v, want kind %q", err, connector.KindTimeout)
+		}
+		if out, err := say(c, "three"); err != nil || out != "three" {
+			t.Errorf("over a new connection: %q, error %v", out, err)
+		}
+	})
+}
+
+// TestMessageBound refuses a message above the bound.
+func TestMessageBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, &wire.Network{}, "k", "k")
+		if _, err := say(c, strings.Repeat("x", connector.MaxMessageBytes+1)); err == nil {
+			t.Error("a message above the bound was answered")
+		}
+	})
+}
