Capacity slopes; held bills compressed, duties remembered, tallies bounded

Cause: slopes showed three rows that do not fit the size: bills held for a peer through an hour's outage 82 MB, the choice of a duty holder 21 us among 400 instances under a lock, other instances' tallies without a bound. Change: held bills are compressed by 4096, choices are remembered until the list changes, foreign tallies are bounded at 8192.

--- a/internal/link/enroller/enroller.go
+++ b/internal/link/enroller/enroller.go
@@ -69,10 +69,22 @@
 	peers   map[ident.Instance]Peer
 	self    bool
 	history []members
+	// duties remembers choices until the history changes.
+	duties  map[string]duty
 	heard   map[ident.Instance]heard
 	byOwner map[ident.Incarnation]ident.Instance
 }
 
+// duty is a remembered choice: the holder now, and since when this instance has been
+// the choice without a break; zero when it is not.
+type duty struct {
+	holder string
+	since  clock.Millis
+}
+
+// maxDuties bounds the remembered choices.
+const maxDuties = 16384
+
 // members is the set of live instances from a time on.
 type members struct {
 	from clock.Millis
@@ -102,6 +114,7 @@
 	e.listed = e.Clock.Now()
 	if e.stale {
 		e.history = nil
+		e.duties = nil
 		e.stale = false
 	}
 	e.remember()
@@ -126,6 +139,7 @@
 	now := e.Clock.Now()
 	if n := len(e.history); n == 0 || !slices.Equal(e.history[n-1].live, live) {
 		e.history = append(e.history, members{from: now, live: live})
+		e.duties = nil
 	}
 	for len(e.history) > 1 && e.history[1].from < now-historySpan {
 		e.history = e.history[1:]
@@ -252,10 +266,35 @@
 // Holder returns the live instance that holds the duty for item, and whether it is
 // this one. It is a hint: two instances may both believe that they hold a duty.
 func (e *Enroller) Holder(item string) (ident.Instance, bool) {
-	holder := ident.Instance(hash.Best(item, e.Live()))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	holder := ident.Instance(e.duty(item).holder)
 	return holder, holder == e.Instance
 }
 
+// duty returns the choice for item among the lists of the history. The lock must be held.
+func (e *Enroller) duty(item string) duty {
+	if d, found := e.duties[item]; found {
+		return d
+	}
+	d := duty{}
+	for i := len(e.history) - 1; i >= 0; i-- {
+		holder := hash.Best(item, e.history[i].live)
+		if i == len(e.history)-1 {
+			d.holder = holder
+		}
+		if holder != string(e.Instance) {
+			break
+		}
+		d.since = e.history[i].from
+	}
+	if e.duties == nil || len(e.duties) >= maxDuties {
+		e.duties = map[string]duty{}
+	}
+	e.duties[item] = d
+	return d
+}
+
 // Among reports whether this instance is one of the n holders of a duty of its zone.
 func (e *Enroller) Among(item string, n int) bool {
 	e.mu.Lock()
@@ -280,13 +319,8 @@
 	if e.stale || now-e.ticked > pauseLimit || !e.connected(now) {
 		return false, 0
 	}
-	for i := len(e.history) - 1; i >= 0; i-- {
-		if hash.Best(item, e.history[i].live) != string(e.Instance) {
-			break
-		}
-		held, since = true, e.history[i].from
-	}
-	return held, since
+	d := e.duty(item)
+	return d.holder == string(e.Instance), d.since
 }
 
 // connected reports whether the list has answered lately, or else most of the
--- a/internal/request/billholder/billholder.go
+++ b/internal/request/billholder/billholder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
 	"example.com/dotterelwell/internal/contract/bill"
@@ -45,12 +46,45 @@
 	total  int
 }
 
+// held is what is kept of one owner: closed segments, compressed, and then batches
+// in the order of their numbers.
 type held struct {
-	// parts are batches in the order of their numbers.
+	closed  []closed
 	parts   []biller.Batch
 	durable biller.Sequence
 }
 
+// closed is an encoded segment that may be written as it is.
+type closed struct {
+	first, last biller.Sequence
+	at          bill.Record // the first record, whose time names the segment's day
+	value       []byte
+}
+
+func (o *held) records() int {
+	n := 0
+	for _, p := range o.parts {
+		n += len(p.Records)
+	}
+	return n
+}
+
+// compress closes the batches into one segment, to save memory while the store is down.
+func (o *held) compress(owner ident.Incarnation) {
+	all := joined(owner, o.parts)
+	value, err := bill.Encode(bill.Segment{Owner: owner, Records: all.Records})
+	if err != nil || len(all.Records) == 0 {
+		return // records hold only strings and numbers, which always encode
+	}
+	last := all.First + biller.Sequence(len(all.Records)) - 1
+	o.closed = append(o.closed, closed{first: all.First, last: last, at: all.Records[0], value: value})
+	o.parts = slices.DeleteFunc(o.parts, func(p biller.Batch) bool { return lastOf(p) <= last })
+}
+
+func lastOf(b biller.Batch) biller.Sequence {
+	return b.First + biller.Sequence(len(b.Records)) - 1
+}
+
 // Hold keeps a batch. Keeping a batch again is harmless.
 func (h *Holder) Hold(b biller.Batch) error {
 	h.mu.Lock()
@@ -75,22 +109,29 @@
 		o.parts = append(o.parts, b)
 		h.total += len(b.Records)
 	}
+	if o.records() >= segmentRecords {
+		o.compress(b.Owner)
+	}
 	return nil
 }
 
 // forget drops batches whose records are all durable.
 func (h *Holder) forget(o *held, durable biller.Sequence) {
 	o.durable = max(o.durable, durable)
-	kept := o.parts[:0]
-	for _, p := range o.parts {
-		if p.First+biller.Sequence(len(p.Records))-1 <= o.durable {
-			h.total -= len(p.Records)
-			continue
+	o.closed = slices.DeleteFunc(o.closed, func(c closed) bool { return c.last <= o.durable })
+	o.parts = slices.DeleteFunc(o.parts, func(p biller.Batch) bool { return lastOf(p) <= o.durable })
+	h.count()
+}
+
+// count adds up what is held. The lock must be held.
+func (h *Holder) count() {
+	h.total = 0
+	for _, o := range h.owners {
+		h.total += o.records()
+		for _, c := range o.closed {
+			h.total += int(c.last-c.first) + 1
 		}
-		kept = append(kept, p)
 	}
-	clear(o.parts[len(kept):])
-	o.parts = kept
 }
 
 // Held returns the number of records held.
@@ -117,14 +158,22 @@
 func (h *Holder) TakeOver(ctx context.Context, owner ident.Incarnation) (int, error) {
 	h.mu.Lock()
 	o := h.owners[owner]
-	if o == nil || len(o.parts) == 0 {
-		delete(h.owners, owner)
+	if o == nil {
 		h.mu.Unlock()
 		return 0, nil
 	}
+	segments := slices.Clone(o.closed)
 	all := joined(owner, o.parts)
 	h.mu.Unlock()
 	total := 0
+	for _, c := range segments {
+		n := int(c.last-c.first) + 1
+		if err := h.put(ctx, owner, c.first, n, c.at, c.value); err != nil {
+			return total, err
+		}
+		total += n
+		h.settle(owner, c.last)
+	}
 	for len(all.Records) > 0 {
 		n := min(len(all.Records), segmentRecords)
 		if err := h.write(ctx, owner, all.First, all.Records[:n]); err != nil {
@@ -156,13 +205,17 @@
 }
 
 func (h *Holder) write(ctx context.Context, owner ident.Incarnation, first biller.Sequence, records []bill.Record) error {
-	const op = "write held segment"
 	value, err := bill.Encode(bill.Segment{Owner: owner, Records: records})
 	if err != nil {
-		return fault.New(op, KindUnavailable, err)
+		return fault.New("write held segment", KindUnavailable, err)
 	}
-	name := fmt.Sprintf("%s-held-%d-%d", owner, first, len(records))
-	_, err = h.Store.Put(ctx, bill.Kind(records[0].At), name, value, storer.Precondition{Absent: true})
+	return h.put(ctx, owner, first, len(records), records[0], value)
+}
+
+func (h *Holder) put(ctx context.Context, owner ident.Incarnation, first biller.Sequence, n int, at bill.Record, value []byte) error {
+	const op = "write held segment"
+	name := fmt.Sprintf("%s-held-%d-%d", owner, first, n)
+	_, err := h.Store.Put(ctx, bill.Kind(at.At), name, value, storer.Precondition{Absent: true})
 	if err != nil && storer.KindOf(err) != storer.KindConflict {
 		return fault.New(op, KindUnavailable, err)
 	}
@@ -178,7 +231,7 @@
 		return
 	}
 	h.forget(o, durable)
-	if len(o.parts) == 0 {
+	if len(o.parts)+len(o.closed) == 0 {
 		delete(h.owners, owner)
 	}
 }
--- a/internal/standin/objectstore/objectstore.go
+++ b/internal/standin/objectstore/objectstore.go
@@ -84,6 +84,13 @@
 	return present
 }
 
+// Drop forgets all objects, so that a measurement does not count them.
+func (s *Store) Drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kinds = nil
+}
+
 // Storer returns a client that calls the store without a network.
 func (s *Store) Storer() *storer.Storer {
 	return &storer.Storer{GetFunc: s.Get, PutFunc: s.Put, DeleteFunc: s.Delete, ListFunc: s.List}
--- a/internal/version/tallier/tallier.go
+++ b/internal/version/tallier/tallier.go
@@ -62,8 +62,18 @@
 	mu      sync.Mutex
 	tallies map[Subject]map[Key]*stamped
 	serial  uint64
+	// foreign is the number of other processes' tallies.
+	foreign int
 }
 
+const (
+	// maxForeign bounds the tallies of other processes.
+	maxForeign = 8192
+	// shortBuckets is the number of buckets of other processes that are kept when
+	// there are more.
+	shortBuckets = 5
+)
+
 type stamped struct {
 	Tally
 	serial uint64
@@ -97,6 +107,9 @@
 	for key := range row {
 		if key.Bucket < now-keepBuckets {
 			delete(row, key)
+			if key.Owner != t.Owner {
+				t.foreign--
+			}
 		}
 	}
 }
@@ -156,11 +169,33 @@
 	if held != nil && held.events() >= e.Tally.events() {
 		return false
 	}
+	if held == nil {
+		if t.foreign >= maxForeign {
+			t.dropOldForeign()
+		}
+		if t.foreign >= maxForeign {
+			return false
+		}
+		t.foreign++
+	}
 	t.serial++
 	row[e.Key] = &stamped{Tally: e.Tally, serial: t.serial}
 	return true
 }
 
+// dropOldForeign forgets other processes' older tallies. The lock must be held.
+func (t *Tallier) dropOldForeign() {
+	oldest := t.bucket() - shortBuckets
+	for _, row := range t.tallies {
+		for key := range row {
+			if key.Owner != t.Owner && key.Bucket < oldest {
+				delete(row, key)
+				t.foreign--
+			}
+		}
+	}
+}
+
 // Since returns at most most tallies that changed after serial and that keep selects,
 // the earliest changes first, and the serial up to which the result is complete.
 func (t *Tallier) Since(serial uint64, most int, keep func(Key) bool) ([]Entry, uint64) {
