Operator, caller and reference documents, compared with the code

Cause: there were no documents. Change: pages for operators and callers; tests compare the settings, configuration, metrics, events and problems with the code and run every caller example.

--- a/internal/contract/problem/problem.go
+++ b/internal/contract/problem/problem.go
@@ -28,28 +28,48 @@
 
 // Reasons of refusals.
 const (
-	TypeBadBody       Type = "bad-body"
-	TypeBodyTooLarge  Type = "body-too-large"
-	TypeBadHeader     Type = "bad-header"
-	TypeBadKey        Type = "bad-key"
-	TypeUnknownRoute  Type = "unknown-route"
-	TypeUnknownPath   Type = "unknown-path"
-	TypeBadSession    Type = "bad-session"
-	TypeWithdrawn     Type = "version-withdrawn"
-	TypeNoServer      Type = "no-server"
-	TypeOverloaded    Type = "overloaded"
-	TypeDeadline      Type = "deadline"
-	TypeStopping      Type = "stopping"
-	TypeNoConfig      Type = "no-configuration"
-	TypeClaimFailed   Type = "claim-failed"
-	TypeKeyInUse      Type = "key-in-use"
-	TypeKeyMismatch   Type = "key-mismatch"
-	TypeKeyExpired    Type = "key-expired"
-	TypeKeyMissing    Type = "key-missing"
-	TypeBillBacklog   Type = "bill-backlog"
+	// TypeBadBody means that the body cannot be read or is not a request.
+	TypeBadBody Type = "bad-body"
+	// TypeBodyTooLarge means that the body exceeds the instance's bound.
+	TypeBodyTooLarge Type = "body-too-large"
+	// TypeBadHeader means that a header has a wrong value.
+	TypeBadHeader Type = "bad-header"
+	// TypeBadKey means that the bearer key belongs to no workspace.
+	TypeBadKey Type = "bad-key"
+	// TypeUnknownRoute means that the workspace has no such route or service.
+	TypeUnknownRoute Type = "unknown-route"
+	// TypeUnknownPath means that the path is not part of the API.
+	TypeUnknownPath Type = "unknown-path"
+	// TypeBadSession means that the session token is forged, expired or another's.
+	TypeBadSession Type = "bad-session"
+	// TypeWithdrawn means that the version may take no new work and the route does not move the request.
+	TypeWithdrawn Type = "version-withdrawn"
+	// TypeNoServer means that no version or server of the route is in service.
+	TypeNoServer Type = "no-server"
+	// TypeOverloaded means that the request's turn would come too late; ask again after Retry-After.
+	TypeOverloaded Type = "overloaded"
+	// TypeDeadline means that the request's deadline passed.
+	TypeDeadline Type = "deadline"
+	// TypeStopping means that the instance is stopping or its zone is out.
+	TypeStopping Type = "stopping"
+	// TypeNoConfig means that the instance has no configuration, or has heard from nobody for too long.
+	TypeNoConfig Type = "no-configuration"
+	// TypeClaimFailed means that the store did not take the claim of a request that may not be repeated.
+	TypeClaimFailed Type = "claim-failed"
+	// TypeKeyInUse means that a request with the key is under way, or its answer was not kept.
+	TypeKeyInUse Type = "key-in-use"
+	// TypeKeyMismatch means that the key was used for another request.
+	TypeKeyMismatch Type = "key-mismatch"
+	// TypeKeyExpired means that the key carries a time before which claims are forgotten.
+	TypeKeyExpired Type = "key-expired"
+	// TypeBillBacklog means that too many bills wait for the store.
+	TypeBillBacklog Type = "bill-backlog"
+	// TypeBackendFailed means that backend servers failed and the tries are used up.
 	TypeBackendFailed Type = "backend-failed"
-	TypeAnswerCut     Type = "answer-cut"
-	TypeNotFound      Type = "request-not-found"
+	// TypeAnswerCut means that a streamed answer cannot be continued.
+	TypeAnswerCut Type = "answer-cut"
+	// TypeNotFound means that no claim with the key is known.
+	TypeNotFound Type = "request-not-found"
 )
 
 // ContentType is the media type of a problem document.
--- a/internal/link/chronicler/chronicler.go
+++ b/internal/link/chronicler/chronicler.go
@@ -31,24 +31,42 @@
 
 // Kinds of events.
 const (
-	KindRequestBegun    Kind = "request-begun"
+	// KindRequestBegun tells that a request passed the checks of its input.
+	KindRequestBegun Kind = "request-begun"
+	// KindRequestFinished tells that a request has ended, with its outcome and refusal.
 	KindRequestFinished Kind = "request-finished"
-	KindDispatched      Kind = "dispatched"
-	KindResumed         Kind = "resumed"
-	KindClaimDecided    Kind = "claim-decided"
-	KindBillsWritten    Kind = "bills-written"
-	KindBillsTakenOver  Kind = "bills-taken-over"
-	KindBillAtRisk      Kind = "bill-at-risk"
-	KindConfigApplied   Kind = "config-applied"
-	KindConfigRejected  Kind = "config-rejected"
-	KindServerCold      Kind = "server-cold"
-	KindServerWarm      Kind = "server-warm"
-	KindVersionBad      Kind = "version-bad"
-	KindRolloutStep     Kind = "rollout-step"
-	KindStarted         Kind = "started"
-	KindDraining        Kind = "draining"
-	KindPaused          Kind = "process-paused"
-	KindReadiness       Kind = "readiness"
+	// KindDispatched tells that a request is about to be sent to a backend server.
+	KindDispatched Kind = "dispatched"
+	// KindResumed tells that a stream is resumed, with the cause.
+	KindResumed Kind = "resumed"
+	// KindClaimDecided tells that a claim was won or lost.
+	KindClaimDecided Kind = "claim-decided"
+	// KindBillsWritten tells that a segment of bills became durable.
+	KindBillsWritten Kind = "bills-written"
+	// KindBillsTakenOver tells that bills of an instance that is gone were written.
+	KindBillsTakenOver Kind = "bills-taken-over"
+	// KindBillAtRisk tells that an answer ended while only this process held its bill.
+	KindBillAtRisk Kind = "bill-at-risk"
+	// KindConfigApplied tells that a new configuration is in force.
+	KindConfigApplied Kind = "config-applied"
+	// KindConfigRejected tells that an invalid configuration object was met.
+	KindConfigRejected Kind = "config-rejected"
+	// KindServerCold tells that a backend server was found cold, or news of it came.
+	KindServerCold Kind = "server-cold"
+	// KindServerWarm tells that a backend server was found warm, or news of it came.
+	KindServerWarm Kind = "server-warm"
+	// KindVersionBad tells that a version was found bad.
+	KindVersionBad Kind = "version-bad"
+	// KindRolloutStep tells that a roll-out moved.
+	KindRolloutStep Kind = "rollout-step"
+	// KindStarted tells that the process started.
+	KindStarted Kind = "started"
+	// KindDraining tells that a planned stop began.
+	KindDraining Kind = "draining"
+	// KindPaused tells that the process was paused.
+	KindPaused Kind = "process-paused"
+	// KindReadiness tells that the instance's readiness changed.
+	KindReadiness Kind = "readiness"
 )
 
 // Event is one entry of the time line.
--- a/internal/machine/loader/loader.go
+++ b/internal/machine/loader/loader.go
@@ -6,10 +6,12 @@
 package loader
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/link/enroller"
@@ -36,8 +38,9 @@
 type Settings struct {
 	// Instance is the instance's name in the platform's list.
 	Instance ident.Instance `toml:"instance"`
-	// Zone and Region are where the instance runs.
-	Zone   declaration.ZoneName   `toml:"zone"`
+	// Zone is the availability zone in which the instance runs.
+	Zone declaration.ZoneName `toml:"zone"`
+	// Region is the region of the zone.
 	Region declaration.RegionName `toml:"region"`
 	// CallerAddress is where callers and the balancer connect.
 	CallerAddress ident.Address `toml:"caller-address"`
@@ -45,16 +48,20 @@
 	PeerAddress ident.Address `toml:"peer-address"`
 	// OperatorAddress is where operators connect for status, time line and metrics.
 	OperatorAddress ident.Address `toml:"operator-address"`
-	Platform        Platform      `toml:"platform"`
-	Keys            Keys          `toml:"keys"`
-	Limits          Limits        `toml:"limits"`
-	Log             Log           `toml:"log"`
+
+	Platform Platform `toml:"platform"`
+	Keys     Keys     `toml:"keys"`
+	Limits   Limits   `toml:"limits"`
+	Log      Log      `toml:"log"`
 }
 
 // Platform says where the platform's services are.
 type Platform struct {
-	ObjectAPI     string `toml:"object-api"`
-	InstanceList  string `toml:"instance-list"`
+	// ObjectAPI is the address of the object API, with the host as an IP address.
+	ObjectAPI string `toml:"object-api"`
+	// InstanceList is the address of the instance list.
+	InstanceList string `toml:"instance-list"`
+	// RatingService is the address of the rating service; without it nothing is rated.
 	RatingService string `toml:"rating-service"`
 	// Timeout bounds a call of the object API or the instance list.
 	Timeout clock.Millis `toml:"timeout-ms"`
@@ -74,31 +81,50 @@
 	OperatorKeyDigest string `toml:"operator-key-digest"`
 	// CertFile and KeyFile, when set, serve callers, peers and operators over TLS.
 	CertFile string `toml:"cert-file"`
-	KeyFile  string `toml:"key-file"`
+	// KeyFile holds the key of CertFile.
+	KeyFile string `toml:"key-file"`
 	// CAFile, when set, makes peers present certificates of this authority.
 	CAFile string `toml:"ca-file"`
 }
 
 // Limits bounds what the process takes on.
 type Limits struct {
-	BodyBytes      int64        `toml:"body-bytes"`
-	WindowBytes    int          `toml:"window-bytes"`
-	StreamBytes    int          `toml:"stream-bytes"`
-	BillBytes      int          `toml:"bill-bytes"`
-	Queue          int          `toml:"queue"`
-	Subset         int          `toml:"subset"`
-	ClaimShards    int          `toml:"claim-shards"`
+	// BodyBytes bounds the body of a caller's request.
+	BodyBytes int64 `toml:"body-bytes"`
+	// WindowBytes bounds what one stream holds for its caller.
+	WindowBytes int `toml:"window-bytes"`
+	// StreamBytes bounds what all streams of the instance hold.
+	StreamBytes int `toml:"stream-bytes"`
+	// BillBytes bounds the bills that wait for the store; new work is refused beyond it.
+	BillBytes int `toml:"bill-bytes"`
+	// Queue bounds the waiting requests of each priority for one version or service.
+	Queue int `toml:"queue"`
+	// Subset bounds the backend servers that the instance uses for one version.
+	Subset int `toml:"subset"`
+	// ClaimShards is the number of shards of claims; it must be the same in the whole fleet.
+	ClaimShards int `toml:"claim-shards"`
+	// ClaimRetention is how long a key is remembered; it must be the same in the whole fleet.
 	ClaimRetention clock.Millis `toml:"claim-retention-ms"`
-	PromptTimeout  clock.Millis `toml:"prompt-timeout-ms"`
+	// PromptTimeout is the deadline of a prompt request that names none.
+	PromptTimeout clock.Millis `toml:"prompt-timeout-ms"`
+	// PatientTimeout is the deadline of a patient request that names none.
 	PatientTimeout clock.Millis `toml:"patient-timeout-ms"`
-	StallLimit     clock.Millis `toml:"stall-limit-ms"`
-	HeaderGap      clock.Millis `toml:"header-gap-ms"`
-	FirstTokenGap  clock.Millis `toml:"first-token-gap-ms"`
-	TokenGap       clock.Millis `toml:"token-gap-ms"`
-	Settle         clock.Millis `toml:"settle-ms"`
-	MaxConfigAge   clock.Millis `toml:"max-config-age-ms"`
-	BalancerDelay  clock.Millis `toml:"balancer-delay-ms"`
-	DrainTimeout   clock.Millis `toml:"drain-timeout-ms"`
+	// StallLimit is how long a caller may take nothing before the engine is let go.
+	StallLimit clock.Millis `toml:"stall-limit-ms"`
+	// HeaderGap is how long an engine may take to accept a request.
+	HeaderGap clock.Millis `toml:"header-gap-ms"`
+	// FirstTokenGap is how long an accepted request may wait for its first token.
+	FirstTokenGap clock.Millis `toml:"first-token-gap-ms"`
+	// TokenGap is how long a stream may be silent between tokens.
+	TokenGap clock.Millis `toml:"token-gap-ms"`
+	// Settle is how long a new warming duty holder waits before it sends to a cold server.
+	Settle clock.Millis `toml:"settle-ms"`
+	// MaxConfigAge is how long an instance that hears nobody goes on.
+	MaxConfigAge clock.Millis `toml:"max-config-age-ms"`
+	// BalancerDelay is how long a stopping instance still takes new requests.
+	BalancerDelay clock.Millis `toml:"balancer-delay-ms"`
+	// DrainTimeout bounds the time for the requests of a stopping instance to end.
+	DrainTimeout clock.Millis `toml:"drain-timeout-ms"`
 	// RatingSample is the share of streamed answers that are rated, in percent.
 	RatingSample declaration.Percent `toml:"rating-sample-percent"`
 }
@@ -149,6 +175,9 @@
 	for i := range problems {
 		problems[i].Line = declaration.LineOf(raw, problems[i].Field)
 	}
+	slices.SortFunc(problems, func(a, b declaration.Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Field, b.Field))
+	})
 	return s, problems
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -223,7 +223,10 @@
 }
 
 // AddDesk starts a plain service named desk in the i-th zone.
-func (f *Fleet) AddDesk(i int, s *deskservice.Service) error {
+func (f *Fleet) AddDesk(i int, s *deskservice.Service) error { return f.AddService(i, "desk", s) }
+
+// AddService starts a plain service in the i-th zone.
+func (f *Fleet) AddService(i int, name declaration.ServiceName, s *deskservice.Service) error {
 	address := fmt.Sprintf("10.3.0.%d:80", len(f.Desks)+1)
 	if err := f.serve(address, s.Handler()); err != nil {
 		return err
@@ -231,7 +234,7 @@
 	f.Desks = append(f.Desks, s)
 	f.List.Set(lister.Instance{
 		ID: fmt.Sprintf("desk-%d", len(f.Desks)), State: lister.StateLive, Role: lister.RoleService, Zone: f.zone(i), Region: Region,
-		Address: ident.Address(address), Service: "desk",
+		Address: ident.Address(address), Service: name,
 	})
 	return nil
 }
@@ -293,6 +296,9 @@
 	return err
 }
 
+// Client returns the callers' HTTP client.
+func (f *Fleet) Client() *http.Client { return f.client }
+
 // Reply is a whole response.
 type Reply struct {
 	Status int
