--- /dev/null
+++ b/internal/link/exchanger/calls.go
@@ -0,0 +1,96 @@
+package exchanger
+
+import (
+	"context"
+	"sync"
+
+	"example.com/dotterelwell/internal/contract/claim"
+	"example.com/dotterelwell/internal/link/chronicler"
+	"example.com/dotterelwell/internal/link/enroller"
+	"example.com/dotterelwell/internal/machine/fault"
+	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/internal/request/biller"
+	"example.com/dotterelwell/internal/request/claimer"
+)
+
+// Forward hands claims to a shard's holder.
+func (x *Exchanger) Forward(ctx context.Context, holder ident.Instance, shard int, entries []claim.Entry) ([]claimer.Verdict, error) {
+	p, found := x.Enroller.Peer(holder)
+	if !found {
+		return nil, fault.Newf("forward claims", KindUnknownPeer, "%s is not listed", holder)
+	}
+	var reply ClaimReply
+	if err := x.Connector.Call(ctx, p.Address, serviceName+".Claim", ClaimArgs{From: x.sender(), Shard: shard, Entries: entries}, &reply); err != nil {
+		return nil, err
+	}
+	x.hear(reply.From)
+	return reply.Verdicts, nil
+}
+
+// Hold asks a peer to hold bill records.
+func (x *Exchanger) Hold(ctx context.Context, holder ident.Instance, b biller.Batch) error {
+	p, found := x.Enroller.Peer(holder)
+	if !found {
+		return fault.Newf("hold bills", KindUnknownPeer, "%s is not listed", holder)
+	}
+	var from Sender
+	if err := x.call(ctx, p.Address, "Hold", HoldArgs{From: x.sender(), Batch: b}, &from); err != nil {
+		return err
+	}
+	x.hear(from)
+	return nil
+}
+
+// Events returns the events of this instance and of every peer that answers, in
+// causal order, and the peers that did not answer.
+func (x *Exchanger) Events(ctx context.Context, f chronicler.Filter) ([]chronicler.Event, []ident.Instance) {
+	peers := x.Enroller.Peers()
+	lists := make([][]chronicler.Event, len(peers)+1)
+	silent := x.ask(peers, func(i int, p enroller.Peer) error {
+		var reply EventsReply
+		err := x.call(ctx, p.Address, "Events", EventsArgs{From: x.sender(), Filter: f}, &reply)
+		lists[i] = reply.Events
+		return err
+	})
+	lists[len(peers)] = x.Chronicler.Events(f)
+	return chronicler.Merge(lists...), silent
+}
+
+// Statuses returns the status of this instance and of every peer that answers, and
+// the peers that did not answer.
+func (x *Exchanger) Statuses(ctx context.Context) ([]Status, []ident.Instance) {
+	peers := x.Enroller.Peers()
+	replies := make([]*StatusReply, len(peers))
+	silent := x.ask(peers, func(i int, p enroller.Peer) error {
+		var reply StatusReply
+		err := x.call(ctx, p.Address, "Status", x.sender(), &reply)
+		if err == nil {
+			replies[i] = &reply
+		}
+		return err
+	})
+	statuses := []Status{x.StatusFunc()}
+	for _, r := range replies {
+		if r != nil {
+			statuses = append(statuses, r.Status)
+		}
+	}
+	return statuses, silent
+}
+
+// ask calls f for every peer at once and returns the peers for which it failed.
+func (x *Exchanger) ask(peers []enroller.Peer, f func(i int, p enroller.Peer) error) []ident.Instance {
+	failed := make([]bool, len(peers))
+	var calls sync.WaitGroup
+	for i, p := range peers {
+		calls.Go(func() { failed[i] = f(i, p) != nil })
+	}
+	calls.Wait()
+	var silent []ident.Instance
+	for i, p := range peers {
+		if failed[i] {
+			silent = append(silent, p.Instance)
+		}
+	}
+	return silent
+}
--- a/internal/request/conductor/conductor.go
+++ b/internal/request/conductor/conductor.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/chat"
@@ -360,73 +359,3 @@
 		Attempts: w.recorder.Attempts(), Usage: u, Cost: w.cost, Frames: frames,
 	}
 }
-
-// hold keeps an answer whole.
-type hold struct {
-	version declaration.Ref
-	usage   chat.Usage
-	rating  declaration.Quality
-	frames  []inferrer.Frame
-	text    strings.Builder
-	bytes   int
-}
-
-func (h *hold) put(_ context.Context, f inferrer.Frame) error {
-	h.bytes += len(f.Data)
-	if h.bytes > maxAnswerBytes {
-		return fault.Newf("hold answer", KindTooLarge, "the answer exceeds %d bytes", maxAnswerBytes)
-	}
-	h.frames = append(h.frames, f)
-	h.text.WriteString(f.Answer.Text())
-	return nil
-}
-
-func (h *hold) reset() bool {
-	*h = hold{version: h.version}
-	return true
-}
-
-// sender passes frames on to a caller, all but the last, which waits for the bill.
-type sender struct {
-	pacer   *pacer.Pacer
-	version declaration.Ref
-	started func(declaration.Ref)
-	begun   bool
-	sample  bool
-	text    strings.Builder
-	last    []inferrer.Frame
-}
-
-func (s *sender) put(ctx context.Context, f inferrer.Frame) error {
-	if !s.begun {
-		s.begun = true
-		s.started(s.version)
-	}
-	if f.Last {
-		s.last = []inferrer.Frame{f}
-		return nil
-	}
-	if err := s.pacer.Put(ctx, EncodeFrame(f)); err != nil {
-		return err
-	}
-	if s.sample && s.text.Len() < maxAnswerBytes {
-		s.text.WriteString(f.Answer.Text())
-	}
-	return nil
-}
-
-func (s *sender) reset() bool {
-	s.begun = false
-	s.text.Reset()
-	return s.pacer.Reset()
-}
-
-// EncodeFrame returns a frame as a server-sent event.
-func EncodeFrame(f inferrer.Frame) []byte {
-	b := make([]byte, 0, len(f.Data)+32)
-	b = append(b, "id: "...)
-	b = strconv.AppendInt(b, f.Offset, 10)
-	b = append(b, "\ndata: "...)
-	b = append(b, f.Data...)
-	return append(b, "\n\n"...)
-}
--- a/internal/request/handler/chat.go
+++ b/internal/request/handler/chat.go
@@ -61,7 +61,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	ctx, cancel := context.WithTimeout(v.r.Context(), (ask.Deadline - v.Clock.Now()).Duration())
+	ctx, cancel := v.answerContext(ask.Deadline)
 	defer cancel()
 	if body.Stream && route.Answer != declaration.AnswerRated {
 		return v.stream(ctx, ask, raw)
@@ -69,6 +69,16 @@
 	return v.collect(ctx, ask, raw)
 }
 
+// answerContext ends at the deadline that the caller has set. Without one the answer
+// must only begin in time: it may be long and its caller slow, and silence of the
+// engine is noticed by its gaps.
+func (v *visit) answerContext(deadline clock.Millis) (context.Context, context.CancelFunc) {
+	if v.headers.timeout == 0 {
+		return context.WithCancel(v.r.Context())
+	}
+	return context.WithTimeout(v.r.Context(), (deadline - v.Clock.Now()).Duration())
+}
+
 func (v *visit) newAsk(route *keeper.Route, body *chat.Request) (*conductor.Ask, *problem.Document) {
 	priority := v.headers.priority(route.Priority)
 	ask := &conductor.Ask{
