A server that was gone and is back counts as cold; unit tests of the request path

Cause: warmth was kept by a server's name, so that a restarted server was given its full load. Change: a server that was gone, or has another address, starts an epoch.

--- a/docs/reference_test.go
+++ b/docs/reference_test.go
@@ -200,4 +200,3 @@
 	}
 	return ""
 }
-
--- a/internal/machine/registrar/registrar.go
+++ b/internal/machine/registrar/registrar.go
@@ -87,6 +87,7 @@
 
 	mu        sync.Mutex
 	servers   map[ident.Server]*server
+	gone      map[ident.Server]bool
 	byAddress map[ident.Address]*server
 	byVersion map[declaration.Ref][]*server
 	byService map[declaration.ServiceName][]*server
--- a/internal/machine/registrar/table.go
+++ b/internal/machine/registrar/table.go
@@ -16,45 +16,54 @@
 	subsetHash   = hasher.Hasher{Salt: "subset"}
 )
 
-// Apply takes in changes of the instance list.
+// Apply takes in changes of the instance list. A server that was gone and is back, or
+// has another address, is taken for cold.
 func (r *Registrar) Apply(instances []lister.Instance) {
 	r.mu.Lock()
 	if r.servers == nil {
 		r.servers = map[ident.Server]*server{}
+		r.gone = map[ident.Server]bool{}
 	}
+	var renewed []ident.Server
 	for _, i := range instances {
-		if i.Role == lister.RoleEntry {
-			continue
+		if i.Role != lister.RoleEntry && r.applyInstance(i) {
+			renewed = append(renewed, ident.Server(i.ID))
 		}
-		r.applyInstance(i)
 	}
 	r.index()
 	r.mu.Unlock()
+	for _, id := range renewed {
+		if r.Warmer != nil {
+			r.Warmer.MarkCold(id)
+		}
+	}
 	if r.OnFreed != nil {
 		r.OnFreed()
 	}
 }
 
-func (r *Registrar) applyInstance(i lister.Instance) {
+// applyInstance updates a row and reports whether the server has been renewed.
+func (r *Registrar) applyInstance(i lister.Instance) bool {
 	id := ident.Server(i.ID)
+	row := r.servers[id]
 	if i.State == lister.StateGone {
-		if row := r.servers[id]; row != nil {
+		if row != nil {
 			row.leaving = true
+			r.gone[id] = true
 		}
 		delete(r.servers, id)
-		if r.Warmer != nil {
-			r.Warmer.Forget(id)
-		}
-		return
+		return false
 	}
-	row := r.servers[id]
-	if row == nil || row.info.Address != i.Address {
+	renewed := r.gone[id] || row != nil && row.info.Address != i.Address
+	if row == nil || renewed {
 		row = &server{id: id}
 		row.limits.Restart(1)
 		r.servers[id] = row
+		delete(r.gone, id)
 	}
 	row.info = i
 	row.leaving = i.State == lister.StateLeaving
+	return renewed
 }
 
 // index rebuilds the lists by version, service and address.
--- /dev/null
+++ b/internal/request/admitter/admitter_test.go
@@ -0,0 +1,104 @@
+package admitter_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/fault"
+	"example.com/dotterelwell/internal/machine/registrar"
+	"example.com/dotterelwell/internal/request/admitter"
+)
+
+// room grants a slot each time it has been given one.
+type room struct {
+	mu   sync.Mutex
+	free int
+}
+
+func (r *room) try() (*registrar.Slot, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.free == 0 {
+		return nil, fault.Newf("try", registrar.KindFull, "no room")
+	}
+	r.free--
+	return &registrar.Slot{}, nil
+}
+
+func (r *room) give(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.free += n
+}
+
+func ticket(r *room, p declaration.Priority, within clock.Millis) admitter.Ticket {
+	return admitter.Ticket{Lane: "m@1", Priority: p, Deadline: clock.Millis(time.Now().UnixMilli()) + within, TryFunc: r.try}
+}
+
+// TestShares serves prompt requests first and gives patient ones every fourth grant.
+func TestShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, r := &admitter.Admitter{Clock: &clock.Clock{}}, &room{}
+		var mu sync.Mutex
+		granted := map[declaration.Priority]int{}
+		var all sync.WaitGroup
+		for _, p := range []declaration.Priority{declaration.PriorityPatient, declaration.PriorityPrompt} {
+			for range 40 {
+				all.Go(func() {
+					if _, err := a.Admit(context.Background(), ticket(r, p, clock.Hour)); err == nil {
+						mu.Lock()
+						defer mu.Unlock()
+						granted[p]++
+					}
+				})
+			}
+		}
+		synctest.Wait()
+		r.give(20)
+		a.Wake()
+		synctest.Wait()
+		mu.Lock()
+		if granted[declaration.PriorityPrompt] != 15 || granted[declaration.PriorityPatient] != 5 {
+			t.Errorf("of 20 grants %v, want 15 prompt and 5 patient", granted)
+		}
+		mu.Unlock()
+		r.give(60)
+		a.Wake()
+		all.Wait()
+	})
+}
+
+// TestRefusals refuses at once what cannot be served in time or has no place, and at
+// the deadline what has waited in vain.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, r := &admitter.Admitter{Clock: &clock.Clock{}, QueueLimit: 1}, &room{}
+		started := time.Now()
+		if _, err := a.Admit(t.Context(), ticket(r, declaration.PriorityPrompt, 0)); admitter.KindOf(err) != admitter.KindTooLate {
+			t.Errorf("past its deadline: %v", err)
+		}
+		var waiting sync.WaitGroup
+		waiting.Go(func() {
+			_, err := a.Admit(context.Background(), ticket(r, declaration.PriorityPrompt, 5*clock.Second))
+			if took := time.Since(started); admitter.KindOf(err) != admitter.KindTooLate || took != 5*time.Second {
+				t.Errorf("waited in vain for %v: %v", took, err)
+			}
+		})
+		synctest.Wait()
+		if _, err := a.Admit(t.Context(), ticket(r, declaration.PriorityPrompt, clock.Second)); admitter.KindOf(err) != admitter.KindQueueFull {
+			t.Errorf("a full queue: %v", err)
+		}
+		if time.Since(started) > 0 {
+			t.Error("refusals that were certain took time")
+		}
+		waiting.Wait()
+		if prompt, patient := a.Waiting(); prompt+patient > 0 {
+			t.Errorf("%d still wait", prompt+patient)
+		}
+	})
+}
--- a/internal/zone/warmer/warmer.go
+++ b/internal/zone/warmer/warmer.go
@@ -139,10 +139,3 @@
 	}
 	return true
 }
-
-// Forget drops what is known of a server that is gone.
-func (w *Warmer) Forget(server ident.Server) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.news, server)
-}
