Places at cold servers are lent to other instances

Cause: while a server is cold only the duty holder sent to it, so that requests at the other instances waited until it was warm, and for ever before a plain service that the holder got no calls for.

--- a/internal/link/enroller/enroller.go
+++ b/internal/link/enroller/enroller.go
@@ -315,14 +315,26 @@
 func (e *Enroller) Guarded(item string) (held bool, since clock.Millis) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.Clock.Now()
-	if e.stale || now-e.ticked > pauseLimit || !e.connected(now) {
+	if !e.sure() {
 		return false, 0
 	}
 	d := e.duty(item)
 	return d.holder == string(e.Instance), d.since
 }
 
+// Sure reports whether this process has run without a pause and with an up-to-date
+// list, so that it may rely on who holds a guarded duty.
+func (e *Enroller) Sure() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sure()
+}
+
+func (e *Enroller) sure() bool {
+	now := e.Clock.Now()
+	return !e.stale && now-e.ticked <= pauseLimit && e.connected(now)
+}
+
 // connected reports whether the list has answered lately, or else most of the
 // listed instances have.
 func (e *Enroller) connected(now clock.Millis) bool {
--- a/internal/link/exchanger/calls.go
+++ b/internal/link/exchanger/calls.go
@@ -41,6 +41,20 @@
 	return nil
 }
 
+// Borrow asks a server's duty holder for a place there, or gives one back.
+func (x *Exchanger) Borrow(ctx context.Context, holder ident.Instance, server ident.Server, giveBack bool) bool {
+	p, found := x.Enroller.Peer(holder)
+	if !found {
+		return false
+	}
+	var reply LendReply
+	if err := x.call(ctx, p.Address, "Lend", LendArgs{From: x.sender(), Server: server, GiveBack: giveBack}, &reply); err != nil {
+		return false // a place that was lent all the same is counted until it ends
+	}
+	x.hear(reply.From)
+	return reply.Granted
+}
+
 // Events returns the events of this instance and of every peer that answers, in
 // causal order, and the peers that did not answer.
 func (x *Exchanger) Events(ctx context.Context, f chronicler.Filter) ([]chronicler.Event, []ident.Instance) {
--- a/internal/link/exchanger/exchanger.go
+++ b/internal/link/exchanger/exchanger.go
@@ -83,6 +83,7 @@
 	// ClaimFunc and HoldFunc serve the peers' calls.
 	ClaimFunc func(ctx context.Context, shard int, entries []claim.Entry) ([]claimer.Verdict, error)
 	HoldFunc  func(biller.Batch) error
+	LendFunc  func(server ident.Server, borrower ident.Instance, giveBack bool) bool
 	// UrgentFunc reports whether tallies of a version are needed at once.
 	UrgentFunc func(declaration.Ref) bool
 	// StatusFunc describes this instance.
@@ -290,9 +291,9 @@
 	x.Usage.Merge(key, Usage{InFlight: inFlight, At: x.Clock.Now()})
 }
 
-// Others returns the requests that other instances state to have at a server.
-func (x *Exchanger) Others(server ident.Server) int {
-	total := 0
+// UsageOf returns the requests that other instances state to have at a server.
+func (x *Exchanger) UsageOf(server ident.Server) map[ident.Instance]int {
+	used := map[ident.Instance]int{}
 	now := x.Clock.Now()
 	x.Usage.Each(func(key UsageKey, u Usage) {
 		if key.Server != server || key.Instance == x.Instance || u.InFlight == 0 {
@@ -302,10 +303,10 @@
 		fresh := now-x.usedAt[key] < usageAge
 		x.mu.Unlock()
 		if fresh {
-			total += u.InFlight
+			used[key.Instance] = u.InFlight
 		}
 	})
-	return total
+	return used
 }
 
 // Nudge asks peers to pull from this instance at once: all of them when they are
--- a/internal/link/exchanger/message.go
+++ b/internal/link/exchanger/message.go
@@ -93,6 +93,19 @@
 	Batch biller.Batch
 }
 
+// LendArgs asks a server's duty holder for a place, or gives one back.
+type LendArgs struct {
+	From     Sender
+	Server   ident.Server
+	GiveBack bool
+}
+
+// LendReply answers LendArgs.
+type LendReply struct {
+	From    Sender
+	Granted bool
+}
+
 // EventsArgs asks for a peer's events.
 type EventsArgs struct {
 	From   Sender
--- a/internal/link/exchanger/service.go
+++ b/internal/link/exchanger/service.go
@@ -130,3 +130,11 @@
 	reply.Status = s.exchanger.StatusFunc()
 	return nil
 }
+
+// Lend lets the caller use a place at a cold server.
+func (s *Service) Lend(args LendArgs, reply *LendReply) error {
+	s.exchanger.hear(args.From)
+	reply.From = s.exchanger.sender()
+	reply.Granted = s.exchanger.LendFunc != nil && s.exchanger.LendFunc(args.Server, args.From.Instance, args.GiveBack)
+	return nil
+}
--- a/internal/machine/assembler/node.go
+++ b/internal/machine/assembler/node.go
@@ -39,6 +39,7 @@
 	"example.com/dotterelwell/internal/version/roller"
 	"example.com/dotterelwell/internal/version/tallier"
 	"example.com/dotterelwell/internal/zone/keeper"
+	"example.com/dotterelwell/internal/zone/lender"
 	"example.com/dotterelwell/internal/zone/warmer"
 	"example.com/dotterelwell/internal/zone/watcher"
 )
@@ -94,6 +95,7 @@
 	Keeper      *keeper.Keeper
 	Watcher     *watcher.Watcher
 	Warmer      *warmer.Warmer
+	Lender      *lender.Lender
 	Registrar   *registrar.Registrar
 	Admitter    *admitter.Admitter
 	Tallier     *tallier.Tallier
--- a/internal/machine/assembler/run.go
+++ b/internal/machine/assembler/run.go
@@ -15,7 +15,9 @@
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/internal/machine/registrar"
 	"example.com/dotterelwell/internal/machine/reporter"
+	"example.com/dotterelwell/internal/zone/lender"
 )
 
 const (
@@ -200,15 +202,20 @@
 	n.noteReadiness()
 }
 
-// warm states this instance's requests at cold servers and asks those whose duty it
-// holds how warm they are.
+// warm looks after cold servers: it states this instance's requests there, asks those
+// whose duty it holds how warm they are, and borrows places at the others.
 func (n *Node) warm(ctx context.Context) {
+	prompt, patient := n.Admitter.Waiting()
 	for _, row := range n.Registrar.Rows() {
 		if row.Warm {
 			continue
 		}
 		n.Exchanger.TellUsage(row.Server, row.InFlight)
-		if len(row.Versions) == 0 || !n.warmingDuty(row.Server).Held {
+		if !n.warmingDuty(row.Server).Held {
+			n.borrow(ctx, row, prompt+patient > 0)
+			continue
+		}
+		if len(row.Versions) == 0 {
 			continue
 		}
 		load, err := n.outside.Inferrer.Load(ctx, row.Address)
@@ -218,6 +225,30 @@
 	}
 }
 
+// borrow asks for a place at a cold server while requests wait or one is under way
+// there, and gives the place back otherwise.
+func (n *Node) borrow(ctx context.Context, row registrar.Row, needed bool) {
+	holder := n.warmingHolder(row.Server)
+	if holder == "" || holder == n.Settings.Instance {
+		return
+	}
+	if needed || row.InFlight > 0 {
+		asked := n.Clock.Now()
+		if n.Warmer.PlaceUntil(row.Server)-asked > lender.Span/2 {
+			return
+		}
+		if n.Exchanger.Borrow(ctx, holder, row.Server, false) {
+			n.Warmer.Borrow(row.Server, holder, asked+lender.Span)
+			n.Admitter.Wake()
+		}
+		return
+	}
+	// The place is given up first, and returned only if no request took it meanwhile.
+	if n.Warmer.DropPlace(row.Server) && n.Registrar.InFlight(row.Server) == 0 {
+		n.Exchanger.Borrow(ctx, holder, row.Server, true)
+	}
+}
+
 // takeOverBills writes the bills of instances that are gone.
 func (n *Node) takeOverBills(ctx context.Context) {
 	for _, owner := range n.Billholder.Owners() {
--- a/internal/machine/assembler/server_test.go
+++ b/internal/machine/assembler/server_test.go
@@ -211,3 +211,29 @@
 		})
 	}
 }
+
+// TestBorrowedPlaces starts a fleet before engines that are all cold. Requests at every
+// instance are answered, not only at those that hold a warming duty.
+func TestBorrowedPlaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 1)
+		e := f.Engines[0]
+		e.WarmAfter = 1000
+		e.SetCold()
+		f.Nodes[0].Warmer.MarkCold("engine-1")
+		time.Sleep(10 * time.Second)
+		worst := time.Duration(0)
+		for i, n := range f.Nodes {
+			start := time.Now()
+			reply, err := f.Send(t.Context(), n, fleet.Chat("rulings", fmt.Sprintf("question %d tokens=5", i), false))
+			if err != nil || reply.Status != 200 {
+				t.Errorf("%s: status %d, error %v: %s", n.Settings.Instance, reply.Status, err, reply.Body)
+			}
+			worst = max(worst, time.Since(start))
+		}
+		t.Logf("the slowest answer through a borrowed place took %v", worst)
+		if s := e.Stats(); s.PeakCold > 2 || s.Collapses > 0 {
+			t.Errorf("%d requests at once at the cold engine, %d collapses", s.PeakCold, s.Collapses)
+		}
+	})
+}
--- a/internal/machine/assembler/wire.go
+++ b/internal/machine/assembler/wire.go
@@ -40,6 +40,7 @@
 	"example.com/dotterelwell/internal/version/signer"
 	"example.com/dotterelwell/internal/version/tallier"
 	"example.com/dotterelwell/internal/zone/keeper"
+	"example.com/dotterelwell/internal/zone/lender"
 	"example.com/dotterelwell/internal/zone/warmer"
 	"example.com/dotterelwell/internal/zone/watcher"
 )
@@ -126,10 +127,13 @@
 		DutyFunc: n.watches,
 		OnAnswer: n.storeAnswered,
 	}
+	n.Lender = &lender.Lender{Clock: n.Clock, UsageFunc: n.Exchanger.UsageOf}
+	n.Exchanger.LendFunc = n.lend
 	n.Warmer = &warmer.Warmer{
 		Clock: n.Clock, Settle: n.Settings.Limits.Settle,
 		DutyFunc:   n.warmingDuty,
-		OthersFunc: n.Exchanger.Others,
+		OthersFunc: n.Lender.Others,
+		HolderFunc: n.warmingHolder,
 		OnNews:     n.foundWarmth,
 		OnMerged:   n.warmthChanged,
 	}
@@ -164,6 +168,30 @@
 	return warmer.Duty{Held: held, Since: since}
 }
 
+// warmingHolder returns the instance with a server's warming duty, or "" while this
+// process cannot be sure of the list.
+func (n *Node) warmingHolder(server ident.Server) ident.Instance {
+	if !n.Enroller.Sure() {
+		return ""
+	}
+	holder, _ := n.Enroller.Holder("warm/" + string(server))
+	return holder
+}
+
+// lend gives a peer a place at a cold server whose duty this instance holds, or takes
+// it back.
+func (n *Node) lend(server ident.Server, borrower ident.Instance, giveBack bool) bool {
+	if giveBack {
+		n.Lender.Return(server, borrower)
+		n.Admitter.Wake()
+		return true
+	}
+	if n.warmingDuty(server).Held && !n.Warmer.Warm(server) && n.Lender.Extend(server, borrower) {
+		return true
+	}
+	return n.Registrar.Lend(server, func() { n.Lender.Lend(server, borrower) })
+}
+
 // foundWarmth spreads a change that this instance found itself.
 func (n *Node) foundWarmth(news warmer.News) {
 	n.Exchanger.Warmth.Merge(news.Server, news)
--- a/internal/machine/registrar/outcome.go
+++ b/internal/machine/registrar/outcome.go
@@ -129,6 +129,23 @@
 	}
 }
 
+// Lend calls grant while one more request has room at a cold server whose duty this
+// instance holds, and reports whether it did.
+func (r *Registrar) Lend(id ident.Server, grant func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.servers[id]
+	if row == nil || row.leaving || r.Warmer == nil || !r.Warmer.DutyFunc(id).Held {
+		return false
+	}
+	allowance := r.allowance(r.ViewFunc(), row)
+	if !allowance.Cold || row.inFlight >= allowance.Room {
+		return false
+	}
+	grant()
+	return true
+}
+
 // Epoch returns the warmth epoch of the server at address.
 func (r *Registrar) Epoch(address ident.Address) uint64 {
 	r.mu.Lock()
--- a/internal/machine/registrar/table.go
+++ b/internal/machine/registrar/table.go
@@ -139,30 +139,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
+	view := r.ViewFunc()
 	rows := make([]Row, 0, len(r.servers))
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
 		s := r.servers[id]
 		rows = append(rows, Row{
 			Server: id, Zone: s.info.Zone, Address: s.info.Address,
 			Versions: s.info.Versions, Service: s.info.Service, Leaving: s.leaving,
-			Warm: r.Warmer == nil || r.Warmer.Warm(id), Epoch: r.epoch(s),
+			Warm: !r.allowance(view, s).Cold, Epoch: r.epoch(s),
 			InFlight: s.inFlight, Limit: s.limits.Limit(), Load: s.load(now),
 		})
 	}
 	return rows
 }
 
-// ColdInFlight returns this instance's requests at each cold server.
-func (r *Registrar) ColdInFlight() map[ident.Server]int {
+// InFlight returns this instance's requests at a server.
+func (r *Registrar) InFlight(id ident.Server) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	cold := map[ident.Server]int{}
-	for id, s := range r.servers {
-		if r.Warmer != nil && !r.Warmer.Warm(id) {
-			cold[id] = s.inFlight
-		}
+	if row := r.servers[id]; row != nil {
+		return row.inFlight
 	}
-	return cold
+	return 0
 }
 
 // Serves reports whether a server in service has the version.
--- a/internal/zone/warmer/warmer.go
+++ b/internal/zone/warmer/warmer.go
@@ -1,6 +1,7 @@
 // Package warmer bounds the work at backend servers in cold start, over all instances.
 //
-// Only the warming duty holder of a server sends to it while it is cold. Instances
+// While a server is cold only its warming duty holder sends to it, and instances to
+// which the holder has lent a place. Instances
 // spread news of a server's warmth; each change of a server from warm to cold
 // starts a new epoch, and within an epoch warm supersedes cold.
 package warmer
@@ -46,13 +47,60 @@
 	DutyFunc func(server ident.Server) Duty
 	// OthersFunc returns the requests that other instances have at a server, as far as known.
 	OthersFunc func(server ident.Server) int
+	// HolderFunc returns the instance that holds a server's duty, as a hint.
+	HolderFunc func(server ident.Server) ident.Instance
 	// OnNews, when set, is told of each change that this instance found itself.
 	OnNews func(News)
 	// OnMerged, when set, is told of each change, found or heard.
 	OnMerged func(News)
 
-	mu   sync.Mutex
-	news map[ident.Server]News
+	mu     sync.Mutex
+	news   map[ident.Server]News
+	places map[ident.Server]borrowed
+}
+
+// borrowed is a place at a cold server that its duty holder has lent to this instance.
+type borrowed struct {
+	from  ident.Instance
+	until clock.Millis
+}
+
+// Borrow notes a place that a server's duty holder has lent until the given time.
+func (w *Warmer) Borrow(server ident.Server, from ident.Instance, until clock.Millis) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.places == nil {
+		w.places = map[ident.Server]borrowed{}
+	}
+	w.places[server] = borrowed{from: from, until: until}
+}
+
+// PlaceUntil returns the end of the place at a server; zero when there is none.
+func (w *Warmer) PlaceUntil(server ident.Server) clock.Millis {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.places[server].until
+}
+
+// DropPlace gives up a place and reports whether there was one.
+func (w *Warmer) DropPlace(server ident.Server) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, found := w.places[server]
+	delete(w.places, server)
+	return found
+}
+
+// lentRoom returns 1 while this instance has a place at the server from the instance
+// that still holds the duty, and 0 otherwise.
+func (w *Warmer) lentRoom(server ident.Server) int {
+	w.mu.Lock()
+	p, found := w.places[server]
+	w.mu.Unlock()
+	if !found || w.Clock.Now() >= p.until || w.HolderFunc == nil || w.HolderFunc(server) != p.from {
+		return 0
+	}
+	return 1
 }
 
 // Allowance is the room of this instance at a server.
@@ -74,7 +122,10 @@
 		return Allowance{Cold: true}
 	}
 	duty := w.DutyFunc(server)
-	if !duty.Held || w.Clock.Now()-duty.Since < w.Settle {
+	if !duty.Held {
+		return Allowance{Cold: true, Room: w.lentRoom(server)}
+	}
+	if w.Clock.Now()-duty.Since < w.Settle {
 		return Allowance{Cold: true}
 	}
 	others := 0
