--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"strconv"
 
 	"k8s.io/klog/v2"
@@ -66,7 +67,6 @@
 
 func (c *demoCmd) run(ctx context.Context, env environment) error {
 	if !c.Logs {
-		klog.SetLogger(klog.Logger{})
 		silenceLogs()
 	}
 	d := &demonstrator.Demonstrator{Out: env.out, Keep: c.Keep, Scale: c.Scale}
@@ -80,10 +80,5 @@
 	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL", "alsologtostderr": "false"} {
 		_ = flags.Set(name, value) // the names are klog's own
 	}
-	klog.SetOutput(discard{})
+	klog.SetOutput(io.Discard)
 }
-
-// discard takes log lines and drops them.
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/internal/cli/demonstrator/demonstrator.go
+++ b/internal/cli/demonstrator/demonstrator.go
@@ -92,7 +92,6 @@
 	l := &load{fleet: f, scale: max(d.Scale, 1)}
 	started := time.Now()
 	l.phase(bounded)
-	withdrawnAt := time.Now()
 	if err := f.withdraw(bounded); err != nil {
 		return 0, err
 	}
@@ -112,7 +111,7 @@
 	if err != nil {
 		return 0, err
 	}
-	promises := l.promises(records, after-before, withdrawnAt)
+	promises := l.promises(records, after-before)
 	d.report(l, records, promises, took)
 	broken := 0
 	for _, p := range promises {
--- a/internal/cli/demonstrator/load.go
+++ b/internal/cli/demonstrator/load.go
@@ -212,7 +212,7 @@
 }
 
 // promises compares what callers, engines, the service and the bills say.
-func (l *load) promises(records []bill.Record, startsOnWithdrawn int, _ time.Time) []promise {
+func (l *load) promises(records []bill.Record, startsOnWithdrawn int) []promise {
 	whole, refused, lost := 0, 0, 0
 	answered := map[ident.Request]bool{}
 	for _, r := range l.results {
--- a/internal/machine/assembler/events.go
+++ b/internal/machine/assembler/events.go
@@ -37,9 +37,6 @@
 func (n *Node) applied(v *keeper.View) {
 	n.Chronicler.Note(chronicler.KindConfigApplied, "", "", fmt.Sprintf("version %d", v.Version))
 	klog.V(1).InfoS("Configuration is in force", "version", v.Version)
-	if n.Admitter == nil {
-		return
-	}
 	if n.watches() {
 		n.nudge()
 	}
@@ -112,7 +109,7 @@
 	}
 }
 
-func (n *Node) dispatched(ask *conductor.Ask, _ ident.Request, version declaration.Ref, slot *registrar.Slot) {
+func (n *Node) dispatched(ask *conductor.Ask, version declaration.Ref, slot *registrar.Slot) {
 	n.Meter.Dispatches.WithLabelValues(version.String()).Inc()
 	n.Chronicler.Note(chronicler.KindDispatched, ask.Request, version.String(), string(slot.Server))
 }
--- a/internal/request/conductor/conductor.go
+++ b/internal/request/conductor/conductor.go
@@ -99,7 +99,7 @@
 	// LaterFunc runs a task in the background.
 	LaterFunc func(func(ctx context.Context))
 	// OnDispatch, when set, is told of each start at a server.
-	OnDispatch func(ask *Ask, attempt ident.Request, version declaration.Ref, slot *registrar.Slot)
+	OnDispatch func(ask *Ask, version declaration.Ref, slot *registrar.Slot)
 }
 
 // work is the state of one request.
@@ -223,7 +223,7 @@
 			TryFunc:  func() (*registrar.Slot, error) { return w.Registrar.Acquire(want) },
 		})
 		if err == nil && w.OnDispatch != nil {
-			w.OnDispatch(w.ask, w.ask.Request, version, slot)
+			w.OnDispatch(w.ask, version, slot)
 		}
 		return slot, err
 	}
--- a/internal/request/dispatcher/once.go
+++ b/internal/request/dispatcher/once.go
@@ -9,6 +9,7 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/claim"
 	"example.com/dotterelwell/internal/contract/forwarder"
+	"example.com/dotterelwell/internal/contract/problem"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -37,7 +38,7 @@
 		d.settle(e, answer.Status, answer.Header.Get("Content-Type"), answer.Body)
 		return Reply{Answer: answer}, nil
 	}
-	if rec.Outcome() == notRun {
+	if rec.Outcome() == problem.OutcomeNotRun {
 		d.release(e)
 		return Reply{}, err
 	}
@@ -48,10 +49,8 @@
 	return Reply{}, err
 }
 
-const (
-	notRun   = "not-run"
-	jsonType = "application/json"
-)
+// jsonType is the media type of answers that a service reports later.
+const jsonType = "application/json"
 
 // expired reports whether a key that carries its time (a UUID of version 7) is
 // older than claims are kept, so that an earlier run would be forgotten.
@@ -123,7 +122,7 @@
 			return forwarder.Answer{}, err
 		}
 		last = err
-		if rec.Outcome() != notRun {
+		if rec.Outcome() != problem.OutcomeNotRun {
 			break
 		}
 		exclude = append(exclude, server)
--- a/internal/request/handler/chat.go
+++ b/internal/request/handler/chat.go
@@ -23,8 +23,6 @@
 	"example.com/dotterelwell/internal/zone/keeper"
 )
 
-var errUrgency = errors.Newf("u is not an integer from 0 to %d", lowestUrgency)
-
 // writeTimeout bounds one write to a caller who takes nothing at all.
 const writeTimeout = 10 * clock.Minute
 
--- a/internal/request/handler/headers.go
+++ b/internal/request/handler/headers.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
 	"github.com/dunglas/httpsfv"
 
 	"example.com/dotterelwell/declaration"
@@ -23,6 +24,8 @@
 	lowestUrgency = 7
 )
 
+var errUrgency = errors.Newf("u is not an integer from 0 to %d", lowestUrgency)
+
 // headers are the checked headers of a request.
 type headers struct {
 	request ident.Request
--- a/internal/standin/workload/rollout.go
+++ b/internal/standin/workload/rollout.go
@@ -39,15 +39,16 @@
 const (
 	perInstance  = 80 // requests a second
 	newShare     = 0.1
-	roundSpan    = 1000 * clock.Millis(1)
-	nudgeSpan    = 50 * clock.Millis(1)
-	stepSpan     = 50 * clock.Millis(1)
+	roundSpan    = 1 * clock.Second
 	nudgePeers   = 8
 	baseErrors   = 0.005
 	baseQuality  = 0.88
 	baseDelay    = 300.0
 	windowLength = 200
 	warmAnswers  = 2000
+
+	nudgeSpan clock.Millis = 50
+	stepSpan  clock.Millis = 50
 )
 
 var (
