Every command of the operators' pages runs in a test; store calls measured

Cause: run-book commands could drift from the program; watches and reads were worked out, not measured. Change: a test runs each documented command against a live instance.

--- a/internal/cli/cmds/cmds_test.go
+++ b/internal/cli/cmds/cmds_test.go
@@ -13,7 +13,9 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/cli/cmds"
 	"example.com/dotterelwell/internal/cli/demonstrator"
+	"example.com/dotterelwell/internal/contract/claim"
 	"example.com/dotterelwell/internal/machine/assembler"
+	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/standin/engine"
 	"example.com/dotterelwell/internal/standin/platform"
 )
@@ -80,15 +82,22 @@
 	}
 }
 
-// TestOperatorsDay runs the operators' commands against a running instance.
-func TestOperatorsDay(t *testing.T) {
+// office is a running instance with what operators' commands need.
+type office struct {
+	node            *assembler.Node
+	store, operator string
+	document        string
+}
+
+func newOffice(t *testing.T) office {
+	t.Helper()
 	klog.SetOutput(&bytes.Buffer{})
 	klog.LogToStderr(false)
 	p, closePlatform, err := platform.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer closePlatform()
+	t.Cleanup(closePlatform)
 	e := &engine.Engine{Versions: []declaration.Ref{{Model: "bora", Version: "1"}}}
 	if _, err := p.AddEngine("engine-1", platform.Place{Zone: "hu-central-1", Region: "hu-central"}, e); err != nil {
 		t.Fatal(err)
@@ -101,14 +110,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx) }()
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		<-done
 		closeNode()
-	}()
+	})
 	file := filepath.Join(t.TempDir(), "fleet.toml")
 	var doc bytes.Buffer
 	if err := declaration.Print(&doc, demonstrator.Sample()); err != nil {
@@ -117,8 +126,83 @@
 	if err := os.WriteFile(file, doc.Bytes(), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	store := "--platform=" + p.StoreURL
-	operator := "--operator=http://" + string(settings.OperatorAddress)
+	return office{node: node, store: p.StoreURL, operator: "http://" + string(settings.OperatorAddress), document: file}
+}
+
+// TestDocumentedCommands runs every command of the operators' pages as written, but
+// for the addresses and the names of files.
+func TestDocumentedCommands(t *testing.T) {
+	o := newOffice(t)
+	settings := filepath.Join(t.TempDir(), "settings.toml")
+	pages, err := filepath.Glob("../../../docs/operators/*.md")
+	if err != nil || len(pages) == 0 {
+		t.Fatalf("%d pages, error %v", len(pages), err)
+	}
+	for _, key := range []ident.Key{"cooperative/advance-17", "cooperative/advance-18"} {
+		if _, err := o.node.Claimer.Claim(t.Context(), claim.Entry{Key: key, Nonce: "n", Request: "r"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replace := strings.NewReplacer("http://10.0.9.1:7000", o.store, "http://10.0.1.1:8082", o.operator, "fleet.toml", o.document, "FILE", settings, " > timeline.html", "")
+	if code, _, errOut := run(t, "config", "submit", o.document, "--platform", o.store); code != cmds.ExitOK {
+		t.Fatal(errOut)
+	}
+	ran := 0
+	for _, page := range pages {
+		raw, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		writeSettings(t, settings, string(raw))
+		for line := range strings.Lines(string(raw)) {
+			words, found := strings.CutPrefix(line, "dotterelwell ")
+			if !found {
+				continue
+			}
+			ran++
+			if code, out, errOut := run(t, splitWords(replace.Replace(strings.TrimSpace(words)))...); code != cmds.ExitOK {
+				t.Errorf("%s: %s: exit code %d\n%s%s", filepath.Base(page), strings.TrimSpace(line), code, out, errOut)
+			}
+		}
+	}
+	if ran < 12 {
+		t.Errorf("only %d commands were found", ran)
+	}
+	if code, out, errOut := run(t, "serve", "--settings", settings, "--check"); code != cmds.ExitOK {
+		t.Errorf("the settings of the install page: exit code %d\n%s%s", code, out, errOut)
+	}
+}
+
+// writeSettings keeps the first TOML example of a page as a settings file.
+func writeSettings(t *testing.T, file, page string) {
+	t.Helper()
+	_, rest, found := strings.Cut(page, "```toml\n")
+	if !found {
+		return
+	}
+	example, _, _ := strings.Cut(rest, "```")
+	if err := os.WriteFile(file, []byte(example), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// splitWords divides a command line into words, with double quotes.
+func splitWords(line string) []string {
+	var words []string
+	for i, part := range strings.Split(line, `"`) {
+		if i%2 == 1 {
+			words = append(words, part)
+			continue
+		}
+		words = append(words, strings.Fields(part)...)
+	}
+	return words
+}
+
+// TestOperatorsDay runs the operators' commands against a running instance.
+func TestOperatorsDay(t *testing.T) {
+	o := newOffice(t)
+	file, store, operator := o.document, "--platform="+o.store, "--operator="+o.operator
 	for _, tt := range []struct {
 		args []string
 		code int
--- a/internal/machine/assembler/zone_test.go
+++ b/internal/machine/assembler/zone_test.go
@@ -286,3 +286,22 @@
 		}
 	})
 }
+
+// TestStoreCalls counts what an idle fleet asks of the store: the watches that wait
+// and the reads in a second. Only two instances of each zone watch.
+func TestStoreCalls(t *testing.T) {
+	for _, nodes := range []int{8, 24} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, nodes, 1)
+			time.Sleep(30 * time.Second)
+			before := f.Store.Calls()
+			time.Sleep(time.Minute)
+			after := f.Store.Calls()
+			reads := float64(after.Reads-before.Reads) / 60
+			t.Logf("%d instances in 3 zones: %d waiting watches, %.2f reads/s, %d writes", nodes, after.Waiting, reads, after.Writes-before.Writes)
+			if after.Waiting > 6 || reads > 1 {
+				t.Errorf("%d waiting watches and %.2f reads/s, want at most 6 and 1", after.Waiting, reads)
+			}
+		})
+	}
+}
