--- a/internal/machine/clock/clock.go
+++ b/internal/machine/clock/clock.go
@@ -23,12 +23,6 @@
 // Time converts the point in time to the standard library's type.
 func (m Millis) Time() time.Time { return time.UnixMilli(int64(m)) }
 
-// Since returns the span from start to m.
-func (m Millis) Since(start Millis) Millis { return m - start }
-
-// FromDuration rounds d down to whole milliseconds.
-func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
-
 // Clock tells the time and waits. Its zero value uses the operating system's clock.
 type Clock struct {
 	// NowFunc replaces the system's time.
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -118,18 +118,6 @@
 	}
 }
 
-// Reset breaks the open connections for which chosen is true.
-func (n *Network) Reset(chosen func(from, to string) bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, l := range n.links {
-		if chosen(l.from, l.to) {
-			_ = l.ends[0].Close() // it may be closed already
-			_ = l.ends[1].Close() // it may be closed already
-		}
-	}
-}
-
 type addr string
 
 func (addr) Network() string { return "tcp" }
