An answer made whole at its deadline is passed on whole

The reader of the stream stopped by the deadline at the instant at which the writer had put the last frame, and the handler took the answer for finished. Ruled out: the kill, silent links, lost frames in the window. Change: only the writer heeds the deadline.

--- a/internal/request/handler/chat.go
+++ b/internal/request/handler/chat.go
@@ -175,7 +175,7 @@
 		}
 		p.Close(runErr)
 	}()
-	begun := v.pass(ctx, ask, p, &version)
+	begun := v.pass(ask, p, &version)
 	p.Drop(context.Canceled)
 	<-ended
 	if runErr == nil {
@@ -192,12 +192,14 @@
 	return nil
 }
 
-// pass copies the stream to the caller and reports whether it sent anything.
-func (v *visit) pass(ctx context.Context, ask *conductor.Ask, p *pacer.Pacer, version *atomic.Pointer[declaration.Ref]) bool {
+// pass copies the stream to the caller and reports whether it sent anything. Only the
+// stream's writer heeds the deadline: were the reader to stop by itself, an answer that
+// has just been made whole would end without its last frame.
+func (v *visit) pass(ask *conductor.Ask, p *pacer.Pacer, version *atomic.Pointer[declaration.Ref]) bool {
 	out := http.NewResponseController(v.w)
 	begun := false
 	for {
-		data, err := p.Take(ctx)
+		data, err := p.Take(v.r.Context())
 		if err != nil || data == nil {
 			return begun
 		}
