An escalation's inputs stand in the request's log line

Cause: whether a doubtful answer was passed on because its confidence was enough, no budget was left or no time, could not be told from the logs. The attempts of 'Request ended' now carry confidence, limit and what stopped the escalation.

--- a/internal/request/cascader/cascader.go
+++ b/internal/request/cascader/cascader.go
@@ -59,11 +59,17 @@
 	return need / float64(left)
 }
 
+// Limit returns the confidence below which the answer of a small model should be dropped
+// for one of a larger model.
+func (c *Cascader) Limit(pressure float64) float64 {
+	return max(calmConfidence-pressureDrop*pressure, leastConfidence)
+}
+
 // Escalate reports whether the answer of a small model should be dropped for one of a
 // larger model.
 func (c *Cascader) Escalate(confidence int, pressure float64) bool {
 	if confidence == message.NoConfidence {
 		return false
 	}
-	return float64(confidence) < max(calmConfidence-pressureDrop*pressure, leastConfidence)
+	return float64(confidence) < c.Limit(pressure)
 }
--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -109,9 +109,11 @@
 		}
 		return x.pass(&t.head, body), true
 	}
-	if !x.begun {
-		if larger := x.Cascader.Larger(x.route, x.model); larger != "" && x.escalate(t, larger) {
-			t.end(roster.ResultOK, "confidence "+strconv.Itoa(t.head.Confidence))
+	why := ""
+	if larger := x.Cascader.Larger(x.route, x.model); larger != "" && !x.begun {
+		var again bool
+		if again, why = x.escalate(t, larger); again {
+			t.end(roster.ResultOK, why)
 			x.model = larger
 			return nil, false
 		}
@@ -120,7 +122,7 @@
 	err := t.pump()
 	if err == nil {
 		x.Speedometer.ObserveEvents(x.servedModel(), t.events, x.Clock.Now()-begun)
-		t.end(roster.ResultOK, "")
+		t.end(roster.ResultOK, why)
 		return nil, true
 	}
 	var callerGone *sinkError
@@ -139,18 +141,28 @@
 	return x.refuseUnserved(err), true
 }
 
-// escalate decides whether the answer of a small model is dropped for one of a larger.
-func (x *run) escalate(t *try, larger declaration.ModelName) bool {
+// escalate decides whether the answer of a small model is dropped for one of a larger,
+// and tells by what.
+func (x *run) escalate(t *try, larger declaration.ModelName) (again bool, why string) {
+	why = "confidence " + strconv.Itoa(t.head.Confidence)
 	wait, work, found := x.Roster.Estimate(x.wantFor(larger))
 	if !found {
-		return false
+		return false, why + ", no server"
 	}
 	now := x.Clock.Now()
 	if now+clock.Millis(wait+work)+x.making(larger) > x.deadline {
-		return false // the larger model could not end its answer in time
+		return false, why + ", no time" // the larger model could not end its answer
 	}
 	left := x.req.Arrived + x.route.FirstByteTarget - now
-	return x.Cascader.Escalate(t.head.Confidence, cascader.Pressure(wait, work, left)) && x.maySendAgain()
+	pressure := cascader.Pressure(wait, work, left)
+	why += " of " + strconv.Itoa(int(x.Cascader.Limit(pressure)))
+	switch {
+	case !x.Cascader.Escalate(t.head.Confidence, pressure):
+		return false, why
+	case !x.maySendAgain():
+		return false, why + ", no budget"
+	}
+	return true, why
 }
 
 // making estimates how long a model takes to make the events of the answer.
