The retry budget is a window, as the fleet's rule is, not a small bucket

Cause: with 87 instances an instance's bucket held 2 retries. Now the retries of the last 10 s count against the share of the requests in it. Test: TestGroupsOfRetries (red before: request 0 denied), TestBound (every window, rapid).

--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -209,6 +209,7 @@
 	if held == nil {
 		b := h.bounds
 		held = &retrier.Retrier{
+			Clock: h.Clock, Window: b.RetryWindow,
 			Share:   b.RetryRatio * retryPart,
 			Reserve: max(b.RetrySlack*slackPart/float64(max(len(h.Enlister.Names()), 1)), 2),
 		}
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -4,38 +4,72 @@
 import (
 	"cmp"
 	"sync"
+
+	"example.com/dotterelwell/internal/machine/clock"
 )
 
 const (
-	// DefaultShare is the number of retries earned by each request.
+	// DefaultShare is the share of the requests of a window that may be retried.
 	DefaultShare = 0.1
-	// DefaultReserve is the number of retries available after a quiet time.
+	// DefaultReserve is the number of retries that a window allows besides.
 	DefaultReserve = 20.0
+	// DefaultWindow is the span in which requests and retries are counted.
+	DefaultWindow = 10 * clock.Second
+	// parts is the number of parts of a window that are counted apart. One more is held, so
+	// that the counts span a whole window at least.
+	parts = 20
 )
 
-// Retrier is a budget of retries. Its zero value has a full reserve.
+// Retrier is a budget of retries: in each window no more than a share of its requests
+// and a reserve. Retries that requests did not need earlier in the window can be used by
+// later ones, so that small instances, to which failures come in groups, are not denied
+// what all instances together may use. Its zero value is ready.
 type Retrier struct {
-	// Share replaces DefaultShare, and Reserve DefaultReserve, when they are not zero.
+	Clock *clock.Clock
+	// Share replaces DefaultShare, Reserve DefaultReserve, and Window DefaultWindow, when
+	// they are not zero.
 	Share, Reserve float64
+	Window         clock.Millis
 
-	mu    sync.Mutex
-	spent float64
+	mu      sync.Mutex
+	counts  [parts + 1]count
+	current clock.Millis // the number of the newest part
 }
 
-// Earn adds the share of one request.
+// count holds what was counted in one part of a window.
+type count struct{ requests, retries int }
+
+// Earn counts a request.
 func (r *Retrier) Earn() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.spent = max(r.spent-cmp.Or(r.Share, DefaultShare), 0)
+	r.newest().requests++
 }
 
 // Spend takes one retry from the budget and reports whether there was one.
 func (r *Retrier) Spend() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.spent+1 > cmp.Or(r.Reserve, DefaultReserve) {
+	newest := r.newest()
+	requests, retries := 0, 0
+	for _, c := range r.counts {
+		requests += c.requests
+		retries += c.retries
+	}
+	if float64(retries+1) > cmp.Or(r.Share, DefaultShare)*float64(requests)+cmp.Or(r.Reserve, DefaultReserve) {
 		return false
 	}
-	r.spent++
+	newest.retries++
 	return true
 }
+
+// newest returns the counts of the present part, after it has cleared those of parts
+// that have left the window. The lock must be held.
+func (r *Retrier) newest() *count {
+	part := r.Clock.Now() / max(cmp.Or(r.Window, DefaultWindow)/parts, 1)
+	for n := min(part-r.current, parts+1); n > 0; n-- {
+		r.counts[(part-n+1)%(parts+1)] = count{}
+	}
+	r.current = max(r.current, part)
+	return &r.counts[r.current%(parts+1)]
+}
--- /dev/null
+++ b/internal/request/retrier/retrier_test.go
@@ -0,0 +1,71 @@
+package retrier_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/request/retrier"
+)
+
+// TestGroupsOfRetries answers the pattern of doubtful answers at one of many instances:
+// they come in groups, and the share that earlier requests did not use covers them.
+func TestGroupsOfRetries(t *testing.T) {
+	now := clock.Minute
+	r := retrier.Retrier{Clock: &clock.Clock{NowFunc: func() clock.Millis { return now }}, Share: 0.7, Reserve: 1}
+	for range 20 {
+		r.Earn()
+		now += 200
+	}
+	for i := range 6 {
+		r.Earn()
+		if !r.Spend() || !r.Spend() {
+			t.Fatalf("request %d of a group is denied a retry: 26 requests allow 19", i)
+		}
+		now += 100
+	}
+	now += 11 * clock.Second
+	if !r.Spend() {
+		t.Error("a new window has no reserve")
+	}
+	if r.Spend() {
+		t.Error("a window without requests allows more than its reserve")
+	}
+}
+
+// TestBound holds in every window, whatever comes when: no more retries than the share of
+// the requests in it and just before, and the reserve.
+func TestBound(t *testing.T) {
+	const window, share, reserve = 10 * clock.Second, 0.5, 3.0
+	const early = window / 20 // the counts may reach that much further back
+	rapid.Check(t, func(t *rapid.T) {
+		now := rapid.Int64Range(0, int64(clock.Hour)).Draw(t, "start")
+		r := retrier.Retrier{
+			Clock: &clock.Clock{NowFunc: func() clock.Millis { return clock.Millis(now) }},
+			Share: share, Reserve: reserve, Window: window,
+		}
+		var requests, retries []clock.Millis
+		within := func(at []clock.Millis, span clock.Millis) (n int) {
+			for _, when := range at {
+				if when > clock.Millis(now)-span {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += int64(rapid.SampledFrom([]clock.Millis{0, 1, 50, 700, 4000, 9999, 30000}).Draw(t, "pause"))
+			if rapid.Bool().Draw(t, "request") {
+				r.Earn()
+				requests = append(requests, clock.Millis(now))
+			}
+			if r.Spend() {
+				retries = append(retries, clock.Millis(now))
+			}
+			if got, bound := float64(within(retries, window)), share*float64(within(requests, window+early))+reserve; got > bound {
+				t.Fatalf("%v retries within a window, bound %v", got, bound)
+			}
+		}
+	})
+}
