A choice compares a sample of the servers, so that a fleet does not herd upon one report

Cause: on Kirakatjel's grown site (87 instances, 140 model servers) the median wait of short questions was 420 ms at the load per server at which today's site has 145 ms. All instances compared all servers by loads that are some tenths of a second old, and sent to the same few. Ruled out: kept prompt parts (53% read from memory on both), processor time, retries.

--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"math/rand/v2"
 	"slices"
 
 	"example.com/dotterelwell/declaration"
@@ -13,26 +12,7 @@
 	"example.com/dotterelwell/internal/zone/curator"
 )
 
-const (
-	// requestCost is what each request in flight at a server costs a new one, in
-	// milliseconds: tokens are made for all of them in turn.
-	requestCost = 8.0
-	// remoteCost is what a server in another zone costs, in milliseconds, for the bytes
-	// between zones.
-	remoteCost = 20.0
-	// failureCost weighs a server's failure share, in milliseconds.
-	failureCost = 2000.0
-	// keptShare is the part of a shared prompt part that is expected to be in a server's
-	// memory still when it was sent there before.
-	keptShare = 0.9
-	// keptSpan is how long a part is expected to be kept after its last use.
-	keptSpan = 10 * clock.Second
-)
-
-var (
-	affinityHash = hasher.Hasher{Salt: "prompt"}
-	coldHash     = hasher.Hasher{Salt: "cold"}
-)
+var coldHash = hasher.Hasher{Salt: "cold"}
 
 // Side tells which releases of a service may take a request during a roll-out.
 type Side string
@@ -214,46 +194,6 @@
 	})
 }
 
-// choose picks the scratch row at which the request is answered soonest, and returns
-// the work that it causes there.
-func (r *Roster) choose(want Want, now clock.Millis) (*row, float64) {
-	home := r.home(want.Part)
-	start := rand.IntN(len(r.scratch)) // equal rows take turns
-	var best *row
-	bestCost, bestWork := 0.0, 0.0
-	for i := range r.scratch {
-		w := r.scratch[(start+i)%len(r.scratch)]
-		work := want.OwnWork + want.SharedWork
-		if want.Part != "" && (w == home || now-w.parts[want.Part] < keptSpan) {
-			work -= keptShare * want.SharedWork
-		}
-		cost := work + w.waiting(now) + requestCost*float64(w.inFlight+w.peers.Requests) + failureCost*w.failures
-		if w.info.Zone != r.Zone {
-			cost += remoteCost
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost, bestWork = w, cost, work
-		}
-	}
-	return best, bestWork
-}
-
-// home returns the scratch row of highest weight for a shared part: the one at which
-// all instances look for it first.
-func (r *Roster) home(part string) *row {
-	if part == "" {
-		return nil
-	}
-	var best *row
-	bestScore, item := uint64(0), affinityHash.Sum(part)
-	for _, w := range r.scratch {
-		if score := affinityHash.Mix(item, w.sum); best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
 // Work is the estimated work of the request at the server, in milliseconds.
 func (s *Slot) Work() float64 { return s.work }
 
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -67,6 +67,8 @@
 	// ColdRateFunc returns the requests a second that all instances may send to a cold
 	// server of the service; zero when its servers are never cold.
 	ColdRateFunc func(service declaration.ServiceName) float64
+	// DrawFunc replaces the random number below n with which a choice begins.
+	DrawFunc func(n int) int
 	// OnFreed, when set, is called without the lock when a server may have become usable.
 	OnFreed func()
 
