--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -25,9 +25,10 @@
 	head    message.Head
 	started clock.Millis
 	first   clock.Millis
-	// events is the number of events that came, and eventsFrom when the first one did.
-	events     int
-	eventsFrom clock.Millis
+	// events is the number of events that came, and paceFrom when the first of those came
+	// of which the pace is not yet told.
+	events   int
+	paceFrom clock.Millis
 }
 
 // verdict tells what follows from an attempt.
--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -121,7 +121,9 @@
 	begun := x.Clock.Now()
 	err := t.pump()
 	if err == nil {
-		x.Speedometer.ObserveEvents(x.servedModel(), t.events, x.Clock.Now()-begun)
+		if t.events < paceEvents {
+			x.Speedometer.ObserveEvents(x.servedModel(), t.events, x.Clock.Now()-begun)
+		}
 		t.end(roster.ResultOK, why)
 		return nil, true
 	}
@@ -259,15 +261,26 @@
 	return nil
 }
 
-// noteEvent tells the stream's pace once enough of its events came.
+// noteEvent learns the stream's pace after every few events, so that what is known of
+// servers that have become slow is not of streams that ended before.
 func (t *try) noteEvent() {
+	now := t.Clock.Now()
 	if t.events == 0 {
-		t.eventsFrom = t.Clock.Now()
+		t.paceFrom = now
 	}
 	t.events++
-	if t.events == paceEvents && t.OnPace != nil {
-		t.OnPace(t.attempt(), (t.Clock.Now()-t.eventsFrom)/(paceEvents-1))
+	if t.events%paceEvents != 0 {
+		return
+	}
+	gaps := paceEvents
+	if t.events == paceEvents {
+		gaps--
+		if t.OnPace != nil {
+			t.OnPace(t.attempt(), (now-t.paceFrom)/clock.Millis(gaps))
+		}
 	}
+	t.Speedometer.ObserveEvents(t.servedModel(), gaps, now-t.paceFrom)
+	t.paceFrom = now
 }
 
 // follows reports whether an event's identifier comes after the last one. Identifiers
