Idle connections to a server stay within the instance's part of what it accepts

A server accepts 430 connections of all callers; 62 instances kept up to 16 idle ones each, as many as 992. The limit was decoded and used nowhere. Ruled out: crashes of servers (the first resets come at 9 s, in a burst, the crash at 15 s), stale connections (posts take new ones). Now all instances together keep at most half of a server's connections idle. Test: TestMaxIdle (red with the bound left out: 4 opened, want 6).

--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -52,8 +53,8 @@
 	// dialTimeout bounds the opening of a connection. Back ends are within milliseconds;
 	// the first lost packet of a handshake is sent again after one second.
 	dialTimeout clock.Millis = 1200
-	// idlePerServer bounds the idle connections kept to one server.
-	idlePerServer = 16
+	// defaultMaxIdle bounds the idle connections kept to one server when a call does not.
+	defaultMaxIdle = 16
 	// defaultIdle is how long a connection is kept whose server names no timeout.
 	defaultIdle = 4 * clock.Second
 	// idleMargin is how long before the server's own timeout a connection is dropped.
@@ -89,6 +90,9 @@
 	Fresh bool
 	// HeadTimeout bounds the time until the answer begins; zero for no bound of its own.
 	HeadTimeout clock.Millis
+	// MaxIdle bounds the idle connections kept to the server after the answer; zero for a
+	// default, and less for none.
+	MaxIdle int
 }
 
 // Answer is a server's answer. Its body must be read to the end for the connection to
@@ -98,6 +102,7 @@
 
 	transport *Transporter
 	address   ident.Address
+	maxIdle   int
 	conn      *conn
 	stop      func() bool
 	ended     bool
@@ -114,7 +119,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // closing ends all reads and writes
 	resp, err := exchange(c, call)
 	if err == nil {
-		return &Answer{Response: resp, transport: t, address: call.Address, conn: c, stop: stop}, nil
+		return &Answer{Response: resp, transport: t, address: call.Address, maxIdle: cmp.Or(call.MaxIdle, defaultMaxIdle), conn: c, stop: stop}, nil
 	}
 	stop()
 	_ = c.Close() // it may be closed already
@@ -181,7 +186,7 @@
 		_ = a.conn.Close() // it may be closed already
 		return
 	}
-	a.transport.keep(a.address, a.conn, idleSpan(a.Header.Get("Keep-Alive")))
+	a.transport.keep(a, idleSpan(a.Header.Get("Keep-Alive")))
 }
 
 // idleSpan returns how long a connection may be kept by its Keep-Alive field.
@@ -196,24 +201,24 @@
 	return defaultIdle
 }
 
-func (t *Transporter) keep(address ident.Address, c *conn, span clock.Millis) {
-	if span <= 0 {
-		_ = c.Close() // the server will close it at once as well
+func (t *Transporter) keep(a *Answer, span clock.Millis) {
+	if span <= 0 || a.maxIdle < 1 {
+		_ = a.conn.Close() // the server would close it at once, or needs it for others
 		return
 	}
-	c.reused = true
-	c.dropAt = t.Clock.Now() + span
+	a.conn.reused = true
+	a.conn.dropAt = t.Clock.Now() + span
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.idle == nil {
 		t.idle = map[ident.Address][]*conn{}
 	}
-	held := t.idle[address]
-	if len(held) >= idlePerServer {
+	held := t.idle[a.address]
+	for len(held) >= a.maxIdle {
 		_ = held[0].Close() // the oldest is the most likely to be stale
 		held = held[1:]
 	}
-	t.idle[address] = append(held, c)
+	t.idle[a.address] = append(held, a.conn)
 }
 
 func (t *Transporter) connect(ctx context.Context, call Call) (*conn, error) {
--- a/internal/link/transporter/transporter_test.go
+++ b/internal/link/transporter/transporter_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -119,6 +120,35 @@
 	})
 }
 
+// TestMaxIdle answers the pattern of many instances before few servers: calls at once
+// leave no more idle connections than each may keep.
+func TestMaxIdle(t *testing.T) {
+	for _, tt := range []struct{ maxIdle, opened int }{{0, 4}, {2, 6}, {-1, 8}} {
+		bubble(t, func(t *testing.T, network *wire.Network, tr *transporter.Transporter) {
+			accepted, stop := serve(t, network, slices.Repeat([]string{whole("ok")}, 20)...)
+			defer stop()
+			for range 2 { // the second time, idle connections are used again
+				var answers []*transporter.Answer
+				for range 4 {
+					a, err := tr.Send(context.Background(), transporter.Call{Address: address, Request: request(""), MaxIdle: tt.maxIdle})
+					if err != nil {
+						t.Fatal(err)
+					}
+					answers = append(answers, a)
+				}
+				for _, a := range answers {
+					_, _ = io.Copy(io.Discard, a) // the server sends whole answers
+					a.Close()
+				}
+			}
+			if n := int(accepted.Load()); n != tt.opened {
+				t.Errorf("with %d idle connections at most: opened %d, want %d", tt.maxIdle, n, tt.opened)
+			}
+			tr.Close()
+		})
+	}
+}
+
 // TestUnusable closes connections whose next answer could not be trusted.
 func TestUnusable(t *testing.T) {
 	for name, first := range map[string]string{
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -54,6 +54,9 @@
 	// rest covers the unevenness of their traffic.
 	retryPart = 0.85
 	slackPart = 0.5
+	// idlePart is the part of the connections that a server accepts which all instances
+	// together may keep idle; the rest is for requests.
+	idlePart = 0.5
 )
 
 // Host is one instance.
@@ -185,7 +188,7 @@
 		Clock: h.Clock, ViewFunc: h.Curator.View, Roster: h.Roster, Transporter: h.Transporter,
 		Cascader: &cascader.Cascader{}, Speedometer: &speedometer.Speedometer{}, EncodeFunc: platform.EncodeAttempt, DecodeFunc: platform.DecodeHead,
 		CertainFunc: routes.Current, StartedFunc: h.informed, StoppingFunc: h.stopsBefore,
-		SideFunc: h.Stager.Side, BudgetFunc: h.budget, OnAnswer: h.noteAnswer, OnEnd: h.noteEnd,
+		SideFunc: h.Stager.Side, BudgetFunc: h.budget, IdleFunc: h.maxIdle, OnAnswer: h.noteAnswer, OnEnd: h.noteEnd,
 		OnWait: h.noteWait, OnPace: h.notePace, OnSent: h.Stager.Pin,
 	}
 }
@@ -218,6 +221,21 @@
 	return held
 }
 
+// maxIdle returns how many idle connections this instance may keep to each server of a
+// service, so that those of all instances leave room for requests: a server resets
+// connections that are too many.
+func (h *Host) maxIdle(service declaration.ServiceName) int {
+	config := h.Curator.View().Config
+	if config == nil || config.Services[service] == nil || config.Services[service].MaxConnections == 0 {
+		return 0
+	}
+	all := idlePart * float64(config.Services[service].MaxConnections)
+	if own := int(all) / max(len(h.Enlister.Names()), 1); own > 0 {
+		return own
+	}
+	return -1
+}
+
 // noteAnswer counts an attempt for the roll-outs. A request that has failed already may
 // fail wherever it goes and says nothing about releases.
 func (h *Host) noteAnswer(o runner.Outcome) {
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -52,6 +52,9 @@
 	SideFunc func(order backend.Rollout, session string, draw uint64) (side roster.Side, strict bool)
 	// BudgetFunc returns the budget of repeated sends to a service.
 	BudgetFunc func(service declaration.ServiceName) *retrier.Retrier
+	// IdleFunc, when set, returns how many idle connections this instance may keep to each
+	// server of a service, as transporter.Call.MaxIdle says.
+	IdleFunc func(service declaration.ServiceName) int
 	// OnSent, when set, is told of each send of a session's request.
 	OnSent func(draw uint64, service declaration.ServiceName, slot *roster.Slot)
 	// OnAnswer, when set, is told how each attempt ended.
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -58,9 +58,11 @@
 		a.Workspace = x.workspace.Name
 	}
 	heard := t.wait()
-	answer, err := x.Transporter.Send(x.ctx, transporter.Call{
-		Address: slot.Server.Address, Request: x.EncodeFunc(a), Fresh: fresh, HeadTimeout: headTimeout,
-	})
+	call := transporter.Call{Address: slot.Server.Address, Request: x.EncodeFunc(a), Fresh: fresh, HeadTimeout: headTimeout}
+	if x.IdleFunc != nil {
+		call.MaxIdle = x.IdleFunc(slot.Server.Service)
+	}
+	answer, err := x.Transporter.Send(x.ctx, call)
 	t.first = x.Clock.Now() - t.started
 	if err != nil {
 		heard(0, false)
