--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -223,7 +223,7 @@
 
 // maxIdle returns how many idle connections this instance may keep to each server of a
 // service, so that those of all instances leave room for requests: a server resets
-// connections that are too many.
+// connections that are too many. It is 0 where the service has no limit, and -1 for none.
 func (h *Host) maxIdle(service declaration.ServiceName) int {
 	config := h.Curator.View().Config
 	if config == nil || config.Services[service] == nil || config.Services[service].MaxConnections == 0 {
--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -146,6 +146,9 @@
 // escalate decides whether the answer of a small model is dropped for one of a larger,
 // and tells by what.
 func (x *run) escalate(t *try, larger declaration.ModelName) (again bool, why string) {
+	if t.head.Confidence == message.NoConfidence {
+		return false, "no confidence"
+	}
 	why = "confidence " + strconv.Itoa(t.head.Confidence)
 	wait, work, found := x.Roster.Estimate(x.wantFor(larger))
 	if !found {
@@ -261,8 +264,8 @@
 	return nil
 }
 
-// noteEvent learns the stream's pace after every few events, so that what is known of
-// servers that have become slow is not of streams that ended before.
+// noteEvent learns the stream's pace after every few events, so that slow streams count
+// early, and those that never end as well.
 func (t *try) noteEvent() {
 	now := t.Clock.Now()
 	if t.events == 0 {
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -27,7 +27,7 @@
 	// time-out of a watch and two rounds between instances.
 	staleMargin = 2 * clock.Second
 	// lostPause is how long an instance that relies on others leaves a store alone that it
-	// could not reach, and up to half of it more. Till then others are asked first.
+	// could not reach, and up to half of it more. The watchers find its return sooner.
 	lostPause = 4 * clock.Second
 	// followPause is how often an instance that relies on others looks at the copy's age.
 	followPause clock.Millis = 100
