An instance without a copy asks on while the store is away

Cause: since an instance that lost the store waits 4 to 6 s, also one that has just started and has no copy. Test: TestStartInOutage (red before).

--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -159,10 +159,10 @@
 	switch {
 	case i.DirectFunc == nil, i.DirectFunc():
 		return true
-	case i.Lost():
-		return i.Clock.Now() >= i.againAt
 	case i.Position() == 0:
 		return i.Clock.Now()-i.startedAt >= i.FirstWait
+	case i.Lost():
+		return i.Clock.Now() >= i.againAt
 	}
 	return i.Age() > i.wait()+staleMargin
 }
--- a/internal/zone/informer/informer_test.go
+++ b/internal/zone/informer/informer_test.go
@@ -301,6 +301,35 @@
 	})
 }
 
+// TestStartInOutage answers the pattern of a fleet that starts while the store is away:
+// an instance without a copy asks on, and has one soon after the return.
+func TestStartInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		down.Store(true)
+		i := &informer.Informer{
+			Clock: &clock.Clock{}, Wait: 1000, FirstWait: 1200, DirectFunc: func() bool { return false },
+			Store: storeOf(func(ident.StoreVersion) (storer.Changes, error) {
+				if down.Load() {
+					return storer.Changes{}, fault.Newf("list", storer.KindUnavailable, "no answer")
+				}
+				return storer.Changes{Version: 1}, nil
+			}),
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { _ = i.Run(ctx); close(ended) }()
+		time.Sleep(10 * time.Second)
+		down.Store(false)
+		time.Sleep(2 * time.Second) // the longest pause after a failed call is 1.5 s
+		if i.Position() == 0 {
+			t.Error("the store has been back for 2 s and the instance has no copy")
+		}
+		stop()
+		<-ended
+	})
+}
+
 // TestReturn marks the return of the store only if nobody had reached it for a while.
 func TestReturn(t *testing.T) {
 	now := clock.Millis(1000)
