--- a/internal/link/hasher/hasher.go
+++ b/internal/link/hasher/hasher.go
@@ -16,21 +16,23 @@
 
 // Score returns the weight of member for item.
 func (h Hasher) Score(item, member string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(h.Salt) // a digest never fails to take bytes
-	_, _ = d.WriteString("\x00" + item + "\x00")
-	_, _ = d.WriteString(member)
-	return d.Sum64()
+	return h.sum(item, member)
 }
 
 // Sum returns the salted hash of a name, to be kept for Mix.
 func (h Hasher) Sum(name string) uint64 {
+	return h.sum(name)
+}
+
+// sum returns the hash of the salt and the names.
+func (h Hasher) sum(names ...string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(h.Salt) // a digest never fails to take bytes
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(name)
+	for _, name := range names {
+		_, _ = d.WriteString("\x00")
+		_, _ = d.WriteString(name)
+	}
 	return d.Sum64()
 }
 
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -214,7 +214,7 @@
 		held = &retrier.Retrier{
 			Clock: h.Clock, Window: b.RetryWindow,
 			Share:   b.RetryRatio * retryPart,
-			Reserve: max(b.RetrySlack*slackPart/float64(max(len(h.Enlister.Names()), 1)), 2),
+			Reserve: max(h.ownPart(b.RetrySlack*slackPart), 2),
 		}
 		h.budgets[service] = held
 	}
@@ -229,13 +229,17 @@
 	if config == nil || config.Services[service] == nil || config.Services[service].MaxConnections == 0 {
 		return 0
 	}
-	all := idlePart * float64(config.Services[service].MaxConnections)
-	if own := int(all) / max(len(h.Enlister.Names()), 1); own > 0 {
+	if own := int(h.ownPart(idlePart * float64(config.Services[service].MaxConnections))); own > 0 {
 		return own
 	}
 	return -1
 }
 
+// ownPart returns this instance's part of what all instances together may use.
+func (h *Host) ownPart(all float64) float64 {
+	return all / float64(max(len(h.Enlister.Names()), 1))
+}
+
 // noteAnswer counts an attempt for the roll-outs. A request that has failed already may
 // fail wherever it goes and says nothing about releases.
 func (h *Host) noteAnswer(o runner.Outcome) {
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -73,10 +73,8 @@
 
 // Outcome tells how one attempt ended.
 type Outcome struct {
-	Route   *routing.Route
-	Service declaration.ServiceName
-	Release backend.Release
-	Result  roster.Result
+	Attempt
+	Result roster.Result
 	// Again is set when an earlier attempt of the request has failed.
 	Again bool
 }
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -144,7 +144,7 @@
 	t.slot.Release(result)
 	t.log.add(attempt{server: t.slot.Server.ID, model: t.model, result: result, detail: detail, first: t.first, took: t.Clock.Now() - t.started})
 	if t.OnAnswer != nil {
-		t.OnAnswer(Outcome{Route: t.route, Service: t.slot.Server.Service, Release: t.slot.Server.Release, Result: result, Again: t.failed})
+		t.OnAnswer(Outcome{Attempt: t.attempt(), Result: result, Again: t.failed})
 	}
 	t.run.failed = t.run.failed || result == roster.ResultError || result == roster.ResultLost
 }
--- a/internal/version/stager/stager_test.go
+++ b/internal/version/stager/stager_test.go
@@ -43,6 +43,15 @@
 	return order
 }
 
+// begin orders a roll-out that all instances see at once.
+func (f *fleet) begin() backend.Rollout {
+	order := f.order()
+	for _, s := range f.stagers {
+		s.Stages()
+	}
+	return order
+}
+
 // tell lets every stager hear every other.
 func (f *fleet) tell() {
 	for _, from := range f.stagers {
@@ -121,9 +130,7 @@
 // half, and reaches all of them before the roll-out is completed.
 func TestShares(t *testing.T) {
 	f := newFleet(1)
-	order := f.order()
-	s := f.stagers[0]
-	s.Stages()
+	order, s := f.begin(), f.stagers[0]
 	for _, tt := range []struct {
 		part        float64
 		least, most float64
@@ -139,10 +146,7 @@
 // and records that it is rolled back.
 func TestVerdictSpreads(t *testing.T) {
 	f := newFleet(3)
-	order := f.order()
-	for _, s := range f.stagers {
-		s.Stages()
-	}
+	order := f.begin()
 	finder := f.stagers[0]
 	count(finder, 100, 12)
 	finder.Tick()
@@ -162,9 +166,7 @@
 // the old release.
 func TestDue(t *testing.T) {
 	f := newFleet(1)
-	order := f.order()
-	s := f.stagers[0]
-	s.Stages()
+	order, s := f.begin(), f.stagers[0]
 	for _, tt := range []struct {
 		part float64
 		left int
@@ -186,10 +188,7 @@
 // the evidence against it grows, and lets it go on when that stops.
 func TestSuspicionHoldsTheRamp(t *testing.T) {
 	f := newFleet(2)
-	order := f.order()
-	for _, s := range f.stagers {
-		s.Stages()
-	}
+	order := f.begin()
 	finder := f.stagers[0]
 	count(finder, 100, 2)
 	f.now += within * 7 / 10
@@ -217,8 +216,7 @@
 // requests must move.
 func TestSuspectIsNotCompleted(t *testing.T) {
 	f := newFleet(1)
-	order, s := f.order(), f.stagers[0]
-	s.Stages()
+	order, s := f.begin(), f.stagers[0]
 	count(s, 100, 2)
 	for _, tt := range []struct {
 		part float64
@@ -261,8 +259,7 @@
 		for seed := range uint64(100) {
 			random := rand.New(rand.NewPCG(seed, 1))
 			f := newFleet(1)
-			order, s := f.order(), f.stagers[0]
-			s.Stages()
+			order, s := f.begin(), f.stagers[0]
 			delay := func() float64 { return 30 * math.Exp(0.5*random.NormFloat64()) }
 			for range 120 {
 				answer(s, "v1", tt.kind, delay())
@@ -289,8 +286,7 @@
 // wait, before they do, and counts each of them once.
 func TestOverdueAnswersCount(t *testing.T) {
 	f := newFleet(1)
-	order, s := f.order(), f.stagers[0]
-	s.Stages()
+	order, s := f.begin(), f.stagers[0]
 	for range 100 {
 		s.Delayed("engines", "v1", stager.DelayPrompt, "route", "small", 300)
 	}
