An instance's reserve of retries follows the number of instances

Cause, found by reading the change: the budget of a service was made with the first request and kept the reserve of that moment. Ruled out: the connections' part, which is computed for each send. Test: TestReserveOfAGrowingFleet (does not compile before: the reserve was a constant).

--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -54,6 +54,9 @@
 	// rest covers the unevenness of their traffic.
 	retryPart = 0.85
 	slackPart = 0.5
+	// leastReserve is the least number of retries in a window without requests: an instance
+	// of a very large fleet could not repeat a single request otherwise.
+	leastReserve = 2
 	// idlePart is the part of the connections that a server accepts which all instances
 	// together may keep idle; the rest is for requests.
 	idlePart = 0.5
@@ -213,8 +216,8 @@
 		b := h.bounds
 		held = &retrier.Retrier{
 			Clock: h.Clock, Window: b.RetryWindow,
-			Share:   b.RetryRatio * retryPart,
-			Reserve: max(h.ownPart(b.RetrySlack*slackPart), 2),
+			Share:       b.RetryRatio * retryPart,
+			ReserveFunc: func() float64 { return max(h.ownPart(b.RetrySlack*slackPart), leastReserve) },
 		}
 		h.budgets[service] = held
 	}
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -30,6 +30,8 @@
 	// they are not zero.
 	Share, Reserve float64
 	Window         clock.Millis
+	// ReserveFunc, when set, returns the reserve as of now, in place of Reserve.
+	ReserveFunc func() float64
 
 	mu      sync.Mutex
 	counts  [parts + 1]count
@@ -56,13 +58,20 @@
 		requests += c.requests
 		retries += c.retries
 	}
-	if float64(retries+1) > cmp.Or(r.Share, DefaultShare)*float64(requests)+cmp.Or(r.Reserve, DefaultReserve) {
+	if float64(retries+1) > cmp.Or(r.Share, DefaultShare)*float64(requests)+r.reserve() {
 		return false
 	}
 	newest.retries++
 	return true
 }
 
+func (r *Retrier) reserve() float64 {
+	if r.ReserveFunc != nil {
+		return r.ReserveFunc()
+	}
+	return cmp.Or(r.Reserve, DefaultReserve)
+}
+
 // newest returns the counts of the present part, after it has cleared those of parts
 // that have left the window. The lock must be held.
 func (r *Retrier) newest() *count {
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -35,6 +35,23 @@
 	}
 }
 
+// TestReserveOfAGrowingFleet answers the pattern of an instance that starts before it knows
+// the others: its part of the reserve shrinks once it does.
+func TestReserveOfAGrowingFleet(t *testing.T) {
+	instances := 1
+	r := retrier.Retrier{
+		Clock:       &clock.Clock{NowFunc: func() clock.Millis { return clock.Minute }},
+		ReserveFunc: func() float64 { return 100 / float64(instances) },
+	}
+	if !r.Spend() {
+		t.Fatal("a full reserve gives nothing")
+	}
+	instances = 50
+	if !r.Spend() || r.Spend() {
+		t.Error("one of 50 instances may use 2 of 100 retries")
+	}
+}
+
 // TestBound holds in every window that ends with a retry, whatever comes when: no more
 // retries than the share of the requests in it and just before, and the reserve. In a window
 // that ends later there may be fewer requests: the operators count those of the one before.
