A server's own word takes it out: Server-Leaving and Retry-After

Cause: the header Server-Leaving was read nowhere, and Retry-After of a server was decoded and not used: a 503 only made the server less preferred for 100 ms, which gave way when all servers were full.

Change: the head of every answer (also interim ones) gives an Advice to the slot's row: leaving ends only with another incarnation (identifier, address, start), survives a vanished entry, an entry that says ready and an outage of the store, and is passed on by gossip while the entry does not say it. A pause is a hard mask in gather, where slots are taken; its end is spread by up to a quarter, and the server gets one request at a time until it takes one. Where all servers pause, a request waits if that is short, and is refused at once with the time that remains if not. What is known of a run is kept for 90 s after its entry vanished: the property test found that a pause was lost when the entry came back.

Ruled out: trusting the notice of an answer with another request's identifier or of a 421, which comes from another server.

--- a/internal/contract/backend/backend.go
+++ b/internal/contract/backend/backend.go
@@ -38,6 +38,19 @@
 	Born clock.Millis
 }
 
+// Incarnation names one run of a server. A server that starts again at its address, also
+// under the identifier that it had, is another incarnation.
+type Incarnation struct {
+	ID      ident.Server
+	Address ident.Address
+	Born    clock.Millis
+}
+
+// Incarnation names this run of the server.
+func (s *Server) Incarnation() Incarnation {
+	return Incarnation{ID: s.ID, Address: s.Address, Born: s.Born}
+}
+
 // Rollout orders that a service's requests move to servers of another release.
 type Rollout struct {
 	Service declaration.ServiceName
--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -100,8 +100,17 @@
 	Authentic bool
 	// Confidence is the model's opinion of its answer, 0 to 100, or NoConfidence.
 	Confidence int
-	// RetryAfter is when the server asks to come back; zero when it does not say.
+	// RetryAfter is how long the server wants no request from this instance; zero when it
+	// does not say.
 	RetryAfter clock.Millis
+	// Leaving states that the server is about to stop and takes no new work.
+	Leaving bool
+}
+
+// Answers reports whether the answer belongs to a request. One without an identifier
+// does only if it declares that the request has not run.
+func (h *Head) Answers(id ident.Request) bool {
+	return h.Echo == id || h.Echo == "" && h.NotRun
 }
 
 // OK reports whether the answer is a success.
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/link/packer"
 	"example.com/dotterelwell/internal/machine/clock"
@@ -40,9 +41,12 @@
 	// out.
 	Loads accountant.Loads
 	// Sums holds the sums of zones' loads, from a watcher of a large fleet.
-	Sums    map[declaration.ZoneName]accountant.Sum
-	Stages  map[declaration.ServiceName]stager.Stage
-	Tallies []tallier.Entry
+	Sums   map[declaration.ZoneName]accountant.Sum
+	Stages map[declaration.ServiceName]stager.Stage
+	// Departing names the servers that are leaving by their own word and not by their
+	// entries.
+	Departing []backend.Incarnation
+	Tallies   []tallier.Entry
 }
 
 // PullArgs asks for the changes of a kind after a version.
--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -93,6 +93,8 @@
 	// MaxIdle bounds the idle connections kept to the server after the answer; zero for a
 	// default, and less for none.
 	MaxIdle int
+	// OnInterim, when set, is told of each interim answer.
+	OnInterim func(resp *http.Response)
 }
 
 // Answer is a server's answer. Its body must be read to the end for the connection to
@@ -161,6 +163,9 @@
 		if resp.StatusCode >= http.StatusOK {
 			return resp, c.SetDeadline(time.Time{})
 		}
+		if call.OnInterim != nil {
+			call.OnInterim(resp)
+		}
 	}
 }
 
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -168,7 +168,7 @@
 		s.OldInFlight = h.Roster.OutsideInFlight(service, s.Target)
 		stages[service] = s
 	}
-	return gossiper.News{Loads: h.Roster.Loads(), Stages: stages}
+	return gossiper.News{Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing()}
 }
 
 func (h *Host) hear(n gossiper.News) {
@@ -180,6 +180,7 @@
 	} else {
 		h.Roster.SetPeerLoads(h.accountant.Parts(), 0)
 	}
+	h.Roster.NoteDeparting(n.Departing)
 	h.Stager.Hear(n.Stages)
 }
 
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -53,6 +53,7 @@
 	work     float64
 	begun    bool
 	released bool
+	trial    bool // the first request after a pause that the server asked for
 }
 
 // Acquire takes a slot. It does not wait.
@@ -79,8 +80,10 @@
 	chosen.pending += work
 	chosen.noteStart(now)
 	chosen.notePart(want.Part, now)
+	trial := chosen.closedUntil > 0
+	chosen.trial = chosen.trial || trial
 	order, ordered := view.Rollouts[want.Service]
-	return &Slot{Server: chosen.info, Target: ordered && order.Target == chosen.info.Release, roster: r, row: chosen, work: work}, nil
+	return &Slot{Server: chosen.info, Target: ordered && order.Target == chosen.info.Release, roster: r, row: chosen, work: work, trial: trial}, nil
 }
 
 // Estimate returns how long a request would wait for its server and how long that would
@@ -123,22 +126,40 @@
 func (r *Roster) gatherSide(g *group, view *curator.View, want Want, now clock.Millis, side Side) int {
 	order, ordered := view.Rollouts[want.Service]
 	alive := 0
+	r.reopensAt, r.otherwiseBusy = 0, false
 	for _, w := range g.rows {
-		if w.info.Leaving || w.lapsesAt > 0 && w.unreachable || view.ZonesOut[w.info.Zone] || !onSide(w, side, order) {
+		if w.leaving() || w.lapsesAt > 0 && w.unreachable || view.ZonesOut[w.info.Zone] || !onSide(w, side, order) {
 			continue
 		}
 		if !ordered && now-g.releases[w.info.Release] < strangeReleaseSpan {
 			continue
 		}
 		alive++
-		if !slices.Contains(want.Exclude, w.info.ID) && r.mayStart(w, now) {
+		switch {
+		case slices.Contains(want.Exclude, w.info.ID):
+		case w.closed(now):
+			r.noteClosed(w)
+		case r.mayStart(w, now):
 			r.scratch = append(r.scratch, w)
+		default:
+			r.otherwiseBusy = true
 		}
 	}
 	r.preferSound(now)
 	return alive
 }
 
+// noteClosed notes when a server that is left out takes requests again. That of a server
+// with a first request on its way is not known.
+func (r *Roster) noteClosed(w *row) {
+	if w.trial {
+		r.otherwiseBusy = true
+	}
+	if r.reopensAt == 0 || w.closedUntil < r.reopensAt {
+		r.reopensAt = w.closedUntil
+	}
+}
+
 func onSide(w *row, side Side, order backend.Rollout) bool {
 	switch side {
 	case SideOld:
@@ -197,13 +218,7 @@
 // Work is the estimated work of the request at the server, in milliseconds.
 func (s *Slot) Work() float64 { return s.work }
 
-// Begun notes that the server has begun to answer, so that the prompt is read.
-func (s *Slot) Begun() {
-	s.roster.mu.Lock()
-	defer s.roster.mu.Unlock()
-	s.begin()
-}
-
+// begin notes that the server has begun to answer, so that the prompt is read.
 func (s *Slot) begin() {
 	if !s.begun {
 		s.begun = true
@@ -222,6 +237,9 @@
 	}
 	s.released = true
 	s.begin()
+	if s.trial {
+		s.endTrial(false)
+	}
 	s.row.inFlight--
 	warmup := clock.Millis(0)
 	if config := r.ViewFunc().Config; config != nil {
--- /dev/null
+++ b/internal/machine/roster/advice_test.go
@@ -0,0 +1,131 @@
+package roster_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"example.com/dotterelwell/internal/contract/backend"
+	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/internal/machine/roster"
+	"example.com/dotterelwell/internal/standin/property"
+)
+
+// TestPausesAndDepartures plays random answers and checks of every slot that its server
+// has not asked for a pause that still lasts, has not said that it leaves, and has no
+// other request on its way when it gets its first one after a pause.
+func TestPausesAndDepartures(t *testing.T) {
+	property.Check(t, 200, func(t *rapid.T) {
+		one := newTable("x", []string{"x"}, 0)
+		one.DrawFunc = func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") }
+		ids := []ident.Server{"s-0", "s-1", "s-2"}
+		born := map[ident.Server]clock.Millis{}
+		put := func(id ident.Server) {
+			one.put(backend.Server{ID: id, Address: ident.Address("a-" + id), Born: born[id]})
+		}
+		for _, id := range ids {
+			put(id)
+		}
+		closedUntil := map[ident.Server]clock.Millis{}
+		onTrial := map[ident.Server]*roster.Slot{}
+		leaving := map[backend.Incarnation]bool{}
+		paused := map[ident.Server]bool{} // since when it has taken nothing
+		var slots []*roster.Slot
+		for range 60 {
+			one.now += clock.Millis(rapid.IntRange(0, 400).Draw(t, "step"))
+			id := rapid.SampledFrom(ids).Draw(t, "server")
+			switch rapid.SampledFrom([]string{"take", "take", "take", "answer", "answer", "forget", "restart", "hear"}).Draw(t, "what") {
+			case "take":
+				slot, err := one.Acquire(roster.Want{Service: "engines"})
+				if err != nil {
+					continue
+				}
+				id = slot.Server.ID
+				if one.now < closedUntil[id] {
+					t.Fatalf("%s got a request %d ms before the end of its pause", id, closedUntil[id]-one.now)
+				}
+				if leaving[slot.Server.Incarnation()] {
+					t.Fatalf("%s got a request though it is leaving", id)
+				}
+				if paused[id] {
+					if onTrial[id] != nil {
+						t.Fatalf("%s got a second request after its pause before it answered the first", id)
+					}
+					onTrial[id] = slot
+				}
+				slots = append(slots, slot)
+			case "answer":
+				if len(slots) == 0 {
+					continue
+				}
+				n := rapid.IntRange(0, len(slots)-1).Draw(t, "slot")
+				slot := slots[n]
+				slots = append(slots[:n], slots[n+1:]...)
+				id = slot.Server.ID
+				advice := roster.Advice{
+					Taken:      rapid.Bool().Draw(t, "taken"),
+					Leaving:    rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+					RetryAfter: rapid.SampledFrom([]clock.Millis{0, 0, 300, 2000}).Draw(t, "retry after"),
+				}
+				slot.Answered(advice)
+				slot.Release(roster.ResultOK)
+				if slot.Server.Born != born[id] {
+					continue // an answer of an earlier run
+				}
+				if advice.RetryAfter > 0 {
+					closedUntil[id] = max(closedUntil[id], one.now+advice.RetryAfter)
+					paused[id] = true
+				}
+				if onTrial[id] == slot {
+					delete(onTrial, id)
+					paused[id] = !advice.Taken || one.now < closedUntil[id]
+				}
+				if advice.Leaving {
+					leaving[slot.Server.Incarnation()] = true
+				}
+			case "hear":
+				run := backend.Incarnation{ID: id, Address: ident.Address("a-" + id), Born: born[id]}
+				one.NoteDeparting([]backend.Incarnation{run})
+				leaving[run] = true
+			case "forget": // the entry vanishes and comes back
+				one.Apply([]storer.Object{{Name: string(id), Deleted: true}})
+				put(id)
+			case "restart":
+				born[id]++
+				put(id)
+				delete(onTrial, id)
+				delete(closedUntil, id)
+				delete(paused, id)
+			}
+		}
+	})
+}
+
+// TestReturnsAreSpread lets the instances that one server has sent away for the same time
+// come back at different moments.
+func TestReturnsAreSpread(t *testing.T) {
+	const instances, pause = 60, 4 * clock.Second
+	back := map[clock.Millis]int{}
+	for range instances {
+		one := newTable("x", []string{"x"}, 0)
+		one.put(backend.Server{ID: "s"})
+		slot := one.take(roster.Want{}, 1)[0]
+		slot.Answered(roster.Advice{RetryAfter: pause})
+		slot.Release(roster.ResultNotRun)
+		from := one.now
+		for len(one.take(roster.Want{}, 1)) == 0 {
+			one.now += 100
+		}
+		if one.now < from+pause {
+			t.Fatalf("back after %d ms", one.now-from)
+		}
+		back[one.now-from]++
+	}
+	for at, n := range back {
+		if n > instances/2 {
+			t.Errorf("%d of %d instances are back after %d ms", n, instances, at)
+		}
+	}
+}
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -48,6 +48,9 @@
 	// lapseSpan is how long after an outage of the store servers are kept whose entries
 	// lapsed meanwhile: those of servers that live are back within about two seconds.
 	lapseSpan = 2 * clock.Second
+	// keepSpan is how long what is known of a server is kept after its entry has vanished.
+	// It exceeds the longest pause that a server can ask for, with its spread.
+	keepSpan = 90 * clock.Second
 )
 
 // Roster is the table. Set the exported fields before use. Its lock may be held while
@@ -75,8 +78,16 @@
 	mu       sync.Mutex
 	rows     map[ident.Server]*row
 	services map[declaration.ServiceName]*group
+	// vanished holds the rows whose entries are gone, because they may come back.
+	vanished map[backend.Incarnation]*row
+	// departures holds the runs of servers that are leaving, by their own word.
+	departures map[backend.Incarnation]bool
 	// scratch avoids an allocation for each choice.
 	scratch []*row
+	// reopensAt is the earliest end of a pause among the servers that gather left out for
+	// one, and otherwiseBusy is set when it left out others.
+	reopensAt     clock.Millis
+	otherwiseBusy bool
 }
 
 // group is the servers of one service, sorted by identifier.
@@ -127,9 +138,20 @@
 			return
 		}
 	}
+	r.vanish(held, now)
+}
+
+// vanish drops a server whose entry is gone, and keeps what is known of this run.
+func (r *Roster) vanish(held *row, now clock.Millis) {
 	r.drop(held)
+	held.vanishedAt = now
+	if r.vanished == nil {
+		r.vanished = map[backend.Incarnation]*row{}
+	}
+	r.vanished[held.info.Incarnation()] = held
 }
 
+// drop takes a server out of the table.
 func (r *Roster) drop(held *row) {
 	klog.InfoS("Server is gone", "server", held.info.ID, "service", held.info.Service, "in-flight", held.inFlight)
 	held.info.Leaving = true
@@ -140,12 +162,12 @@
 
 func (r *Roster) put(server backend.Server, now clock.Millis, first bool) {
 	held := r.rows[server.ID]
-	if held != nil && (held.info.Born != server.Born || held.info.Service != server.Service || held.info.Address != server.Address) {
+	if held != nil && (held.info.Incarnation() != server.Incarnation() || held.info.Service != server.Service) {
 		r.drop(held) // another run of the server, which holds nothing of before
 		held = nil
 	}
 	if held == nil {
-		held = &row{sum: affinityHash.Sum(string(server.ID))}
+		held = r.rowFor(server)
 		r.rows[server.ID] = held
 		g := r.services[server.Service]
 		if g == nil {
@@ -170,6 +192,19 @@
 	held.lapsesAt = 0
 }
 
+// rowFor returns a row for a server that is not in the table: the one that it had if its
+// entry had vanished.
+func (r *Roster) rowFor(server backend.Server) *row {
+	run := server.Incarnation()
+	held := r.vanished[run]
+	delete(r.vanished, run)
+	if held == nil || held.info.Service != server.Service {
+		held = &row{sum: affinityHash.Sum(string(server.ID))}
+	}
+	held.departing = r.departures[run]
+	return held
+}
+
 // Tick removes servers whose vanished entries have not come back.
 func (r *Roster) Tick() {
 	now := r.Clock.Now()
@@ -177,7 +212,12 @@
 	defer r.mu.Unlock()
 	for _, held := range r.rows {
 		if held.lapsesAt > 0 && now >= held.lapsesAt {
-			r.drop(held)
+			r.vanish(held, now)
+		}
+	}
+	for run, held := range r.vanished {
+		if now-held.vanishedAt >= keepSpan {
+			delete(r.vanished, run)
 		}
 	}
 }
@@ -230,15 +270,17 @@
 
 // Row is a copy of what the table holds of a server.
 type Row struct {
-	Server   ident.Server            `json:"server"`
-	Service  declaration.ServiceName `json:"service"`
-	Zone     declaration.ZoneName    `json:"zone"`
-	Release  backend.Release         `json:"release"`
-	Leaving  bool                    `json:"leaving"`
-	Cold     bool                    `json:"cold"`
-	InFlight int                     `json:"in-flight"`
-	Peers    int                     `json:"peers-in-flight"`
-	Failures float64                 `json:"failure-share"`
+	Server  ident.Server            `json:"server"`
+	Service declaration.ServiceName `json:"service"`
+	Zone    declaration.ZoneName    `json:"zone"`
+	Release backend.Release         `json:"release"`
+	Leaving bool                    `json:"leaving"`
+	// PauseMs is how long the server still wants no requests from this instance.
+	PauseMs  clock.Millis `json:"pause-ms"`
+	Cold     bool         `json:"cold"`
+	InFlight int          `json:"in-flight"`
+	Peers    int          `json:"peers-in-flight"`
+	Failures float64      `json:"failure-share"`
 }
 
 // Rows returns the table sorted by server.
@@ -250,8 +292,8 @@
 	for _, id := range slices.Sorted(maps.Keys(r.rows)) {
 		w := r.rows[id]
 		rows = append(rows, Row{
-			Server: id, Service: w.info.Service, Zone: w.info.Zone, Release: w.info.Release, Leaving: w.info.Leaving,
-			Cold: w.cold(now), InFlight: w.inFlight, Peers: w.peers.Requests, Failures: w.failures,
+			Server: id, Service: w.info.Service, Zone: w.info.Zone, Release: w.info.Release, Leaving: w.leaving(),
+			PauseMs: max(w.closedUntil-now, 0), Cold: w.cold(now), InFlight: w.inFlight, Peers: w.peers.Requests, Failures: w.failures,
 		})
 	}
 	return rows
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -50,8 +50,19 @@
 	// before it was known to be cold count as well.
 	sentCold []clock.Millis
 	lapsesAt clock.Millis
+	// vanishedAt is when the entry of a server that is not in the table was removed.
+	vanishedAt clock.Millis
+	// departing is set when the server has said, here or to a peer, that it is leaving.
+	departing bool
+	// closedUntil is until when the server wants no requests; zero once it has taken one
+	// after that. trial is set while the first one after that is on its way.
+	closedUntil clock.Millis
+	trial       bool
 }
 
+// leaving reports whether the server takes no new work.
+func (w *row) leaving() bool { return w.info.Leaving || w.departing }
+
 // Result tells how a request ended at a server.
 type Result string
 
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -264,8 +264,11 @@
 
 func (x *run) refuse(kind message.Kind, err error) *message.Refusal {
 	refusal := &message.Refusal{Op: "serve request", Kind: kind, Err: err, RetryAfter: retryBase}
-	if kind == message.KindStopping {
+	switch kind {
+	case message.KindStopping:
 		refusal.RetryAfter = stoppingRetry
+	case message.KindOverloaded:
+		refusal.RetryAfter = max(retryBase, x.Roster.ReopensIn(x.wantFor(x.servedModel())))
 	}
 	return refusal
 }
@@ -303,7 +306,7 @@
 			return nil, refusal
 		}
 		left := waitUntil - x.Clock.Now()
-		if left <= 0 {
+		if left <= 0 || x.Roster.ReopensIn(x.wantFor(x.servedModel())) > left {
 			kind := message.KindOverloaded
 			if roster.KindOf(err) == roster.KindNoServer {
 				kind = message.KindNoServer
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -62,6 +63,11 @@
 	if x.IdleFunc != nil {
 		call.MaxIdle = x.IdleFunc(slot.Server.Service)
 	}
+	call.OnInterim = func(resp *http.Response) {
+		if head := x.DecodeFunc(resp); head.Leaving && (head.Echo == "" || head.Echo == x.req.ID) {
+			slot.NoticeLeaving()
+		}
+	}
 	answer, err := x.Transporter.Send(x.ctx, call)
 	t.first = x.Clock.Now() - t.started
 	if err != nil {
@@ -78,9 +84,9 @@
 		x.mayRun = true
 		return t, verdictLost, err
 	}
-	slot.Begun()
 	t.answer, t.head = answer, x.DecodeFunc(answer.Response)
 	v := x.judge(&t.head)
+	slot.Answered(adviceOf(&t.head, x.req.ID))
 	if v == verdictPass && x.route.CacheAffine {
 		x.Speedometer.Observe(x.servedModel(), slot.Work(), t.first)
 	}
@@ -105,9 +111,9 @@
 // judge sorts the head of an answer.
 func (x *run) judge(h *message.Head) verdict {
 	switch {
-	case h.Echo != x.req.ID && (h.Echo != "" || !h.NotRun):
+	case !h.Answers(x.req.ID):
 		x.mayRun = true
-		return verdictLost // it answers another request
+		return verdictLost
 	case h.NotRun:
 		return verdictNotRun
 	}
@@ -121,6 +127,15 @@
 	return verdictPass
 }
 
+// adviceOf returns what the head of an answer to a request says about its server. A
+// misdirected one comes from another server.
+func adviceOf(h *message.Head, id ident.Request) roster.Advice {
+	if !h.Answers(id) || h.Misdirected {
+		return roster.Advice{}
+	}
+	return roster.Advice{Taken: !h.NotRun, Leaving: h.Leaving, RetryAfter: h.RetryAfter}
+}
+
 // results gives each verdict what it says of the server.
 var results = map[verdict]roster.Result{
 	verdictPass:   roster.ResultOK,
@@ -223,7 +238,7 @@
 		}
 		x.skip(slot.Server.ID)
 		if !x.maySendAgain() {
-			return x.passSaved(x.refuseLast(&t.head, err))
+			return x.passSaved(x.refuseUnserved(err))
 		}
 	}
 }
@@ -231,15 +246,6 @@
 // skip keeps a server from being used again for this request.
 func (x *run) skip(id ident.Server) { x.exclude = append(x.exclude, id) }
 
-// refuseLast ends a request after its last attempt.
-func (x *run) refuseLast(head *message.Head, err error) *message.Refusal {
-	refusal := x.refuseUnserved(err)
-	if head.RetryAfter > 0 {
-		refusal.RetryAfter = head.RetryAfter
-	}
-	return refusal
-}
-
 // hedgeFactor is the multiple of the target after which an answer that has not begun
 // is asked for elsewhere, and minHedge the least such time.
 const (
--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -68,7 +68,7 @@
 			return x.passSaved(x.refuseUnserved(err))
 		}
 		if !x.mayContinue(v) {
-			return x.passSaved(x.refuseLast(&t.head, err))
+			return x.passSaved(x.refuseUnserved(err))
 		}
 	}
 }
