Bytes without end from servers, callers and the store are bounded

One server that sends comments without end filled a caller's stream with 256 MiB; one that sends events without end took the test process to 10 GB.

Change: inspector stands between a connection and the parser of heads (32 KiB, 256 lines, 8 interim answers); bufferer holds all bodies within a sixteenth of the process's memory beyond 64 KiB each; an event has 64 KiB, 16 KiB of comments may come between events and wait for the next one, a stream has no more events than tokens were asked for and 64; only events end the silence of a stream. Bodies of callers have 15 s (408) and 4 MiB where no limit is set; the store's answers 8 MiB and 64 KiB of header. Whatever exceeds a bound closes the connection and counts as a request that may have run, in one log line and in answer_overruns_total.

Ruled out: bounds on chunk extensions and trailers of our own: Go's reader has them (TestEndlessFrames was green before).

TestCommentsAreKept, TestCallersWithoutEnd, TestInterims, TestRead and TestBounds hold the rest.

--- a/docs/reference_test.go
+++ b/docs/reference_test.go
@@ -144,6 +144,7 @@
 	m := node.Meter
 	m.Requests.WithLabelValues("w", "r", "ran", "")
 	m.Seconds.WithLabelValues("r")
+	m.Overruns.WithLabelValues("events")
 	m.Answers.WithLabelValues("v")
 	m.Cost.WithLabelValues("w")
 	m.Dispatches.WithLabelValues("v")
--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -135,6 +135,8 @@
 	// KindBodyTooLarge and KindHeaderTooLarge mean that a limit is exceeded.
 	KindBodyTooLarge   Kind = "body-too-large"
 	KindHeaderTooLarge Kind = "header-too-large"
+	// KindTooSlow means that the request's body did not come in time.
+	KindTooSlow Kind = "too-slow"
 	// KindStopping means that the instance is about to stop.
 	KindStopping Kind = "stopping"
 	// KindNoServer means that no backend server can take the request.
--- a/internal/link/splitter/splitter.go
+++ b/internal/link/splitter/splitter.go
@@ -17,14 +17,17 @@
 // Error is the package's error type.
 type Error = fault.Error[Kind]
 
-// maxEventBytes bounds one event.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event. The events of models are far smaller, and each stream may
+// hold as much.
+const maxEventBytes = 64 << 10
 
 // Event is one whole event with the blank line that ends it.
 type Event struct {
 	// ID is the event's identifier; empty when it has none.
 	ID  string
 	Raw []byte
+	// Idle is set when there are only comments or empty lines, which bring nothing.
+	Idle bool
 }
 
 // Splitter collects bytes and returns the events that are whole. Its zero value is ready.
@@ -44,7 +47,7 @@
 // Next returns the next whole event, which is valid until the next call of Add. It
 // reports false when more bytes are needed.
 func (s *Splitter) Next() (Event, bool) {
-	var e Event
+	e := Event{Idle: true}
 	rest := s.pending
 	for {
 		end := bytes.IndexByte(rest, '\n')
@@ -59,6 +62,9 @@
 			s.pending = rest
 			return e, true
 		}
+		if line[0] != ':' {
+			e.Idle = false
+		}
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			e.ID = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
--- a/internal/link/splitter/splitter_test.go
+++ b/internal/link/splitter/splitter_test.go
@@ -40,6 +40,9 @@
 			t.Fatalf("%d events, partial %v", len(got), s.Partial())
 		}
 		for i, e := range got {
+			if idle := i == 3 || i == 5; e.Idle != idle {
+				t.Fatalf("event %d, %q, idle %v, want %v", i, e.Raw, e.Idle, idle)
+			}
 			if string(e.Raw) != events[i] || e.ID != ids[i] {
 				t.Fatalf("event %d is %q with id %q", i, e.Raw, e.ID)
 			}
@@ -61,6 +64,19 @@
 	}
 }
 
+// TestEventBound takes an event up to the bound and no more.
+func TestEventBound(t *testing.T) {
+	for _, tt := range []struct {
+		bytes int
+		taken bool
+	}{{64 << 10, true}, {64<<10 + 1, false}} {
+		var s splitter.Splitter
+		if err := s.Add(make([]byte, tt.bytes)); (err == nil) != tt.taken {
+			t.Errorf("%d bytes: error %v, want taken %v", tt.bytes, err, tt.taken)
+		}
+	}
+}
+
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"example.com/dotterelwell/internal/link/dialer"
+	"example.com/dotterelwell/internal/link/inspector"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -39,6 +40,8 @@
 	KindStale Kind = "stale"
 	// KindSilent means that no answer began within the time allowed; it may have run.
 	KindSilent Kind = "silent"
+	// KindOverrun means that the answer's head exceeds a bound; the request may have run.
+	KindOverrun Kind = "overrun"
 	// KindLost means that the request may have run and that no whole answer came.
 	KindLost Kind = "lost"
 )
@@ -75,9 +78,10 @@
 
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
-	reused bool
+	inspector inspector.Inspector
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	reused    bool
 	// dropAt is when an idle connection is no longer used.
 	dropAt clock.Millis
 }
@@ -128,6 +132,8 @@
 	kind := KindLost
 	switch {
 	case ctx.Err() != nil:
+	case inspector.KindOf(err) != "":
+		kind = KindOverrun
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		kind = KindSilent
 	case c.reused && errors.Is(err, errNoAnswer):
@@ -152,6 +158,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNoAnswer, err)
 	}
+	c.inspector.Expect()
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, fmt.Errorf("%w: %w", errNoAnswer, err)
 	}
@@ -161,8 +168,12 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			c.inspector.Done()
 			return resp, c.SetDeadline(time.Time{})
 		}
+		if resp.StatusCode < http.StatusContinue {
+			return nil, fmt.Errorf("status %d is none", resp.StatusCode)
+		}
 		if call.OnInterim != nil {
 			call.OnInterim(resp)
 		}
@@ -242,7 +253,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readerBytes), writer: bufio.NewWriterSize(raw, readerBytes)}, nil
+	c := &conn{Conn: raw, inspector: inspector.Inspector{Source: raw}, writer: bufio.NewWriterSize(raw, readerBytes)}
+	c.reader = bufio.NewReaderSize(&c.inspector, readerBytes)
+	return c, nil
 }
 
 // takeIdle returns the newest idle connection on which nothing waits to be read.
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -25,6 +25,7 @@
 	"example.com/dotterelwell/internal/machine/meter"
 	"example.com/dotterelwell/internal/machine/profile"
 	"example.com/dotterelwell/internal/machine/roster"
+	"example.com/dotterelwell/internal/request/bufferer"
 	"example.com/dotterelwell/internal/request/cascader"
 	"example.com/dotterelwell/internal/request/retrier"
 	"example.com/dotterelwell/internal/request/runner"
@@ -60,6 +61,11 @@
 	// idlePart is the part of the connections that a server accepts which all instances
 	// together may keep idle; the rest is for requests.
 	idlePart = 0.5
+	// bodyPart is the part of the process's memory that the large bodies of all requests
+	// and answers may take together. It leaves the small machines their usual peak.
+	bodyPart = 1.0 / 16
+	// maxStoreHeader bounds the header of an answer of the store, in bytes.
+	maxStoreHeader = 64 << 10
 )
 
 // Host is one instance.
@@ -79,6 +85,7 @@
 	Sweeper     *sweeper.Sweeper
 
 	outside    Outside
+	bufferer   *bufferer.Bufferer
 	informers  map[storer.ObjectKind]*informer.Informer
 	tallier    *tallier.Tallier
 	accountant *accountant.Accountant
@@ -119,7 +126,7 @@
 		budgets:   map[declaration.ServiceName]*retrier.Retrier{},
 		peers:     map[ident.Instance]map[declaration.ServiceName]stager.Stage{},
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: outside.DialFunc, MaxIdleConnsPerHost: 8, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: outside.DialFunc, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxStoreHeader, DisableCompression: true}}
 	h.Store = platform.NewStorer(p.StoreAddress, client, storeTimeout)
 	h.tallier = &tallier.Tallier{Clock: h.Clock, Owner: ident.NewIncarnation(p.Instance, h.Clock.Now())}
 	h.wireZone()
@@ -185,15 +192,17 @@
 }
 
 func (h *Host) wireRequests() {
+	h.bufferer = &bufferer.Bufferer{Limit: int64(bodyPart * float64(h.Profile.MemoryBytes))}
 	h.Transporter = &transporter.Transporter{Clock: h.Clock, DialFunc: h.outside.DialFunc}
 	routes := h.informers[platform.RoutingKind]
 	h.Sweeper = &sweeper.Sweeper{Clock: h.Clock, LimitFunc: func() clock.Millis { return h.limits().IdleTimeout }}
 	h.Runner = &runner.Runner{
 		Clock: h.Clock, ViewFunc: h.Curator.View, Roster: h.Roster, Transporter: h.Transporter,
-		Cascader: &cascader.Cascader{}, Speedometer: &speedometer.Speedometer{}, EncodeFunc: platform.EncodeAttempt, DecodeFunc: platform.DecodeHead,
+		Cascader: &cascader.Cascader{}, Speedometer: &speedometer.Speedometer{}, Bufferer: h.bufferer, EncodeFunc: platform.EncodeAttempt, DecodeFunc: platform.DecodeHead,
 		CertainFunc: routes.Current, StartedFunc: h.informed, StoppingFunc: h.stopsBefore,
 		SideFunc: h.Stager.Side, BudgetFunc: h.budget, IdleFunc: h.maxIdle, OnAnswer: h.noteAnswer, OnEnd: h.noteEnd,
-		OnWait: h.noteWait, OnPace: h.notePace, OnSent: h.Stager.Pin,
+		OnOverrun: func(bound string) { h.Meter.Overruns.WithLabelValues(bound).Inc() },
+		OnWait:    h.noteWait, OnPace: h.notePace, OnSent: h.Stager.Pin,
 	}
 }
 
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -63,7 +63,7 @@
 		group.Add(func() error { return serveHTTP(server, l) }, func(error) { _ = server.Close() })
 	}
 	serve(callers, h.counted(&platform.Ingress{
-		Clock: h.Clock, ServeFunc: h.Runner.Serve, LimitsFunc: h.limits, ClosingFunc: h.draining.Load,
+		Clock: h.Clock, Bufferer: h.bufferer, ServeFunc: h.Runner.Serve, LimitsFunc: h.limits, ClosingFunc: h.draining.Load,
 	}), h.Sweeper.Track)
 	serve(readiness, platform.ReadyHandler(h.ready), nil)
 	if metrics, err := h.outside.ListenFunc(h.Profile.MetricsAddress()); err == nil {
--- a/internal/machine/meter/meter.go
+++ b/internal/machine/meter/meter.go
@@ -40,6 +40,8 @@
 	StoreErrors prometheus.Counter
 	// Pauses counts pauses of this process.
 	Pauses prometheus.Counter
+	// Overruns counts answers of backend servers that exceeded a bound, by the bound.
+	Overruns *prometheus.CounterVec
 	// VersionsBad counts versions that this instance found bad.
 	VersionsBad prometheus.Counter
 
@@ -59,6 +61,7 @@
 	m.Cost = m.vector("cost_micros_total", "Charged cost by workspace, in millionths of the currency unit.", "workspace")
 	m.Dispatches = m.vector("dispatches_total", "Starts at backend servers by version or service.", "target")
 	m.Claims = m.vector("claims_total", "Decided claims by result.", "result")
+	m.Overruns = m.vector("answer_overruns_total", "Answers of backend servers that exceeded a bound, by the bound.", "bound")
 	m.Resumes = m.counter("stream_resumes_total", "Streams that were resumed.")
 	m.DroppedFrames = m.counter("dropped_frames_total", "Frames that belonged to another request.")
 	m.BillsWritten = m.counter("bills_written_total", "Bill records that became durable.")
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -23,6 +23,7 @@
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/machine/roster"
+	"example.com/dotterelwell/internal/request/bufferer"
 	"example.com/dotterelwell/internal/request/cascader"
 	"example.com/dotterelwell/internal/request/retrier"
 	"example.com/dotterelwell/internal/request/speedometer"
@@ -37,6 +38,7 @@
 	Transporter *transporter.Transporter
 	Cascader    *cascader.Cascader
 	Speedometer *speedometer.Speedometer
+	Bufferer    *bufferer.Bufferer
 	// EncodeFunc and DecodeFunc translate to and from the servers' protocol.
 	EncodeFunc func(a message.Attempt) *http.Request
 	DecodeFunc func(resp *http.Response) message.Head
@@ -64,6 +66,8 @@
 	OnWait func(attempt Attempt) (heard func(firstByte clock.Millis, found bool))
 	// OnPace, when set, is told of the mean time between the first events of a stream.
 	OnPace func(attempt Attempt, gap clock.Millis)
+	// OnOverrun, when set, is told of the bound that an answer exceeded.
+	OnOverrun func(bound string)
 	// OnEnd, when set, is told of each request that ended.
 	OnEnd func(end End)
 
@@ -119,6 +123,8 @@
 	exclude []ident.Server
 	mayRun  bool // a server may have run the request
 	log     attemptLog
+	// releases give back the memory of the bodies that are held.
+	releases []func()
 	// saved is a server's own failure, which is passed on if nothing better comes.
 	saved     *message.Head
 	savedBody []byte
@@ -131,6 +137,9 @@
 func (r *Runner) Serve(ctx context.Context, req *message.Request, sink *message.Sink) error {
 	x := &run{Runner: r, ctx: ctx, req: req, sink: sink, view: r.ViewFunc(), after: req.After}
 	err := x.serve()
+	for _, release := range x.releases {
+		release()
+	}
 	x.finish(err)
 	if err != nil {
 		return err
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -1,18 +1,23 @@
 package runner
 
 import (
-	"io"
+	"cmp"
 	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"example.com/dotterelwell/internal/contract/message"
 	"example.com/dotterelwell/internal/contract/routing"
+	"example.com/dotterelwell/internal/link/inspector"
+	"example.com/dotterelwell/internal/link/splitter"
 	"example.com/dotterelwell/internal/link/transporter"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/machine/roster"
+	"example.com/dotterelwell/internal/request/bufferer"
 )
 
 // budgetMargin is kept back from the time that a server is given, for the way back.
@@ -30,6 +35,9 @@
 	// of which the pace is not yet told.
 	events   int
 	paceFrom clock.Millis
+	// lastEvent is when the last event came, and idle what came after it that is none.
+	lastEvent clock.Millis
+	idle      []byte
 }
 
 // verdict tells what follows from an attempt.
@@ -82,6 +90,7 @@
 	}
 	if err != nil {
 		x.mayRun = true
+		t.noteOverrun(err)
 		return t, verdictLost, err
 	}
 	t.answer, t.head = answer, x.DecodeFunc(answer.Response)
@@ -174,15 +183,35 @@
 // maxAnswerBytes bounds an answer that is held whole.
 const maxAnswerBytes = 16 << 20
 
-var errTooLong = errors.Newf("the answer exceeds %d bytes", maxAnswerBytes)
-
-// body reads the whole answer.
+// body reads the whole answer, which is held until the request ends.
 func (t *try) body() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(t.answer, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		return nil, errTooLong
+	body, release, err := t.Bufferer.Read(t.answer, t.answer.ContentLength, maxAnswerBytes)
+	if err != nil {
+		t.noteOverrun(err)
+		return nil, err
+	}
+	t.releases = append(t.releases, release)
+	return body, nil
+}
+
+// noteOverrun logs and counts an answer that exceeds a bound.
+func (t *try) noteOverrun(err error) {
+	bound := overrunOf(err)
+	if bound == "" {
+		return
+	}
+	klog.InfoS("Answer exceeds a bound", "request", t.req.ID, "server", t.slot.Server.ID, "address", t.slot.Server.Address, "bound", bound, "events", t.events, "err", err)
+	if t.OnOverrun != nil {
+		t.OnOverrun(bound)
+	}
+}
+
+// overrunOf returns the bound that an answer exceeded, or "" for another error.
+func overrunOf(err error) string {
+	if errors.Is(err, errEndless) {
+		return "events"
 	}
-	return body, err
+	return cmp.Or(string(inspector.KindOf(err)), string(bufferer.KindOf(err)), string(fault.KindOf[splitter.Kind](err)))
 }
 
 // urgency ranks a request among those of a server, from 0 to 9: the priority of its
--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -24,11 +24,20 @@
 	// paceEvents is the number of a stream's events after which its pace is told: enough
 	// for a mean, and early, because a slow stream takes long to end.
 	paceEvents = 8
+	// maxIdleBytes bounds the comments and empty lines between two events. A server that
+	// keeps a connection alive sends a few bytes every second.
+	maxIdleBytes = 16 << 10
+	// moreEvents is how many events a stream may have beyond the tokens that its caller
+	// asked for at most, and maxEvents bounds those of a request that does not say.
+	moreEvents = 64
+	maxEvents  = 1 << 16
 )
 
 var (
 	errPartial = errors.New("the stream ended inside an event")
 	errOrder   = errors.New("the stream does not continue after the last event")
+	errSilent  = errors.New("no event came in time")
+	errEndless = errors.New("the stream brings more than was asked for")
 )
 
 // stream runs a request that is answered by events.
@@ -132,6 +141,7 @@
 		t.end(roster.ResultAbandoned, "caller gone")
 		return x.refuse(message.KindCallerGone, err), true
 	}
+	t.noteOverrun(err)
 	t.end(roster.ResultLost, "broke off after "+x.after)
 	if x.ctx.Err() != nil {
 		return x.ended(), true
@@ -191,9 +201,15 @@
 	var events splitter.Splitter
 	silence := max(silenceFactor*t.route.GapTarget, minSilence)
 	buffer := make([]byte, readBytes)
+	t.lastEvent = t.Clock.Now()
 	for {
 		if t.begun && t.route.Resumable {
-			if err := t.answer.SetReadTimeout(silence); err != nil {
+			// Bytes that bring no event do not make the stream less silent.
+			left := silence - (t.Clock.Now() - t.lastEvent)
+			if left <= 0 {
+				return errSilent
+			}
+			if err := t.answer.SetReadTimeout(left); err != nil {
 				return err
 			}
 		}
@@ -217,21 +233,19 @@
 	}
 }
 
-// endStream passes on the head of a stream that had no event.
+// endStream passes on what follows the last event, and the head if there was none.
 func (t *try) endStream() error {
-	if t.begun {
+	if t.begun && len(t.idle) == 0 {
 		return nil
 	}
-	t.run.begun = true
-	if err := t.sink.BeginFunc(&t.head); err != nil {
-		return &sinkError{err}
-	}
-	return nil
+	return t.passOn(t.idle)
 }
 
-// passEvents passes on the events that are whole, in one piece.
+// passEvents passes on the events that are whole, in one piece. Comments wait for the next
+// event.
 func (t *try) passEvents(events *splitter.Splitter) error {
-	var whole []byte
+	whole := t.idle
+	passed := 0 // bytes of whole that end with an event
 	last := t.after
 	for {
 		e, found := events.Next()
@@ -245,29 +259,57 @@
 			last = e.ID
 		}
 		whole = append(whole, e.Raw...)
+		if e.Idle {
+			continue
+		}
+		passed = len(whole)
 		t.run.events++
 		t.noteEvent()
 	}
-	if len(whole) == 0 {
+	t.idle = whole[passed:]
+	if len(t.idle) > maxIdleBytes || t.events > t.mostEvents() {
+		return errEndless
+	}
+	if passed == 0 {
 		return nil
 	}
+	if err := t.passOn(whole[:passed:passed]); err != nil {
+		return err
+	}
+	t.run.after = last
+	return nil
+}
+
+// passOn passes bytes of the stream on, after its head if they are the first.
+func (t *try) passOn(p []byte) error {
 	if !t.begun {
 		t.run.begun = true
 		if err := t.sink.BeginFunc(&t.head); err != nil {
 			return &sinkError{err}
 		}
 	}
-	if err := t.sink.EventFunc(whole); err != nil {
+	if len(p) == 0 {
+		return nil
+	}
+	if err := t.sink.EventFunc(p); err != nil {
 		return &sinkError{err}
 	}
-	t.run.after = last
 	return nil
 }
 
+// mostEvents is how many events one server may send: each holds a token at least.
+func (t *try) mostEvents() int {
+	if t.req.AnswerTokens > 0 {
+		return t.req.AnswerTokens + moreEvents
+	}
+	return maxEvents
+}
+
 // noteEvent learns the stream's pace after every few events, so that slow streams count
 // early, and those that never end as well.
 func (t *try) noteEvent() {
 	now := t.Clock.Now()
+	t.lastEvent = now
 	if t.events == 0 {
 		t.paceFrom = now
 	}
