A release stays at its first share until its evidence clears it

Change: judge.Finding.Doubt is how likely the evidence is under the likeliest failure or slowdown against a kept guard. Above 0.02, or with fewer than 20 comparable delays, a release is held; what has cleared it stays. A held release completes late, once its requests have had their time to move. A suspicion counts 1.5 s, two rounds, for 2 s.

Tests, red before: TestThinEvidence, TestLateRelease; TestIdleRelease.

--- a/internal/version/judge/evidence.go
+++ b/internal/version/judge/evidence.go
@@ -2,7 +2,9 @@
 
 import (
 	"math"
+	"slices"
 
+	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/version/tallier"
 )
 
@@ -40,14 +42,19 @@
 // errorEvidence tests that the new version fails at most rise more often.
 func errorEvidence(pairs []Pair, rise float64) float64 {
 	return combine(pairs, len(errorSteps), func(logs []float64, p *Pair) (apart bool) {
-		n0 := p.Before.Answers + p.Before.Errors
-		share := (p.Before.Errors + 0.5) / (n0 + priorCount)
-		limit := share + caution*math.Sqrt(share*(1-share)/(n0+priorCount)) + rise
-		addBernoulli(logs, errorSteps, p.After.Errors, p.After.Answers, max(limit, minErrorShare))
-		return n0 >= minBefore
+		return addErrors(logs, p, rise)
 	})
 }
 
+// addErrors adds to logs the evidence of one class's errors.
+func addErrors(logs []float64, p *Pair, rise float64) (known bool) {
+	n0 := p.Before.Answers + p.Before.Errors
+	share := (p.Before.Errors + 0.5) / (n0 + priorCount)
+	limit := share + caution*math.Sqrt(share*(1-share)/(n0+priorCount)) + rise
+	addBernoulli(logs, errorSteps, p.After.Errors, p.After.Answers, max(limit, minErrorShare))
+	return n0 >= minBefore
+}
+
 // minBefore is the number of the old version's observations in a class from which the
 // class's evidence counts by itself.
 const minBefore = 20
@@ -132,6 +139,66 @@
 	}
 }
 
+// plainFailure is the least step of errorSteps that a version must be cleared of: smaller
+// rises take more answers to tell than a roll-out has.
+const plainFailure = 0.16
+
+// doubt returns how likely the evidence of all classes is under the likeliest alternative,
+// against the hypothesis that the guard is kept. It is 1 without evidence, and falls as the
+// new version's answers and delays look like the old one's. Delays count once there are
+// enough of the old version to compare with.
+func doubt(pairs []Pair, guard declaration.Guard) float64 {
+	failures := errorLogs(pairs, float64(guard.MaxErrorRise)/100)
+	worst := math.Inf(-1)
+	for i, l := range failures {
+		if errorSteps[i] >= plainFailure {
+			worst = max(worst, l)
+		}
+	}
+	if guard.MaxLatencyFactor > 1 {
+		if shapes := shapeLogs(pairs, guard.MaxLatencyFactor); shapes != nil {
+			worst = max(worst, slices.Max(shapes))
+		}
+	}
+	return math.Exp(min(worst, 600))
+}
+
+// errorLogs returns the log-likelihood ratios of errorSteps for all classes together.
+func errorLogs(pairs []Pair, rise float64) []float64 {
+	logs := make([]float64, len(errorSteps))
+	for i := range pairs {
+		addErrors(logs, &pairs[i], rise)
+	}
+	return logs
+}
+
+// minAfter is the number of the new version's delays below which they cannot clear it: the
+// quick ones come first, and from servers that have little to do yet.
+const minAfter = 20
+
+// shapeLogs returns the log-likelihood ratios of slowdowns for all classes together, or nil
+// when no class has enough delays of the old version. With few delays of the new one they
+// are all zero.
+func shapeLogs(pairs []Pair, factor float64) []float64 {
+	logs := make([]float64, len(slowdowns))
+	comparable, after := false, 0.0
+	for i := range pairs {
+		if n, _ := pairs[i].Before.MedianDelay(); pairs[i].Alike && n >= minBefore {
+			comparable = true
+			n, _ := pairs[i].After.MedianDelay()
+			after += n
+			addShapes(logs, &pairs[i], factor)
+		}
+	}
+	if !comparable {
+		return nil
+	}
+	if after < minAfter {
+		clear(logs)
+	}
+	return logs
+}
+
 // delaySteps are the alternatives of the test for medians.
 var delaySteps = []float64{0.2, 0.4, 0.6, 0.8, 0.95}
 
--- a/internal/version/judge/judge.go
+++ b/internal/version/judge/judge.go
@@ -36,6 +36,9 @@
 	Ratings float64 `json:"ratings"`
 	Delays  float64 `json:"delays"`
 	Limit   float64 `json:"limit"`
+	// Doubt is how likely the evidence is if the version is bad, against how likely if it
+	// keeps its guard, for the likeliest way to be bad; 1 where nothing tells the two apart.
+	Doubt float64 `json:"doubt"`
 	// Answers and Rated count the evidence of the new version.
 	Answers float64 `json:"answers"`
 	Rated   float64 `json:"rated"`
@@ -176,6 +179,7 @@
 	if guard.MaxLatencyFactor > 1 {
 		f.Delays = delayEvidence(pairs, guard.MaxLatencyFactor)
 	}
+	f.Doubt = doubt(pairs, guard)
 	f.Reason = reason(&f, guard)
 	return f
 }
--- a/internal/version/stager/stager.go
+++ b/internal/version/stager/stager.go
@@ -45,6 +45,12 @@
 	// left at the old release, and completeBy when it is in any case.
 	completeFrom = 0.88
 	completeBy   = 0.95
+	// moveSpan is how long requests have to move to the new release before it is completed
+	// while some are left at older ones, as a part of the roll-out's time.
+	moveSpan = completeBy - allFrom
+	// holdAtMost ends a hold for want of evidence, as a multiple of the roll-out's time: the
+	// service may have no requests.
+	holdAtMost = 2
 )
 
 // guard is what a new release must keep.
@@ -74,8 +80,11 @@
 	// suspicion is the evidence against a release from which it gets no larger share, and
 	// is not completed. A good release reaches it in fewer than one of three roll-outs.
 	suspicion = 3
-	// suspectSpan is how long a suspicion counts without being confirmed.
-	suspectSpan = 2 * clock.Second
+	// enoughDoubt is the doubt up to which the evidence clears a release.
+	enoughDoubt = 0.02
+	// suspectSpan is how long a suspicion counts without being confirmed: two rounds between
+	// instances.
+	suspectSpan clock.Millis = 1500
 )
 
 // Stage is what an instance knows of a roll-out, and tells the others.
@@ -122,7 +131,9 @@
 	bad    string
 	// suspectAt is when an instance last found the evidence growing; 0 for never.
 	suspectAt clock.Millis
-	kept      map[uint64]bool
+	// cleared is set once this instance's evidence can tell the release from a bad one.
+	cleared bool
+	kept    map[uint64]bool
 }
 
 // SetBounds replaces the share and the pause that operators allow.
@@ -211,7 +222,7 @@
 // share returns the share of the sessions that use the new release.
 func (s *Stager) share(held *stage, part float64) float64 {
 	switch {
-	case part < canaryUntil, part < holdUntil && s.suspected(held):
+	case part < canaryUntil, s.suspected(held):
 		return canaryOfBound * s.ExposureShare
 	case part < halfFrom:
 		return quarterShare
@@ -268,6 +279,16 @@
 	}
 }
 
+// moved reports whether the requests have had their time to move to the new release since
+// it was last held at its first share. The lock must be held.
+func (s *Stager) moved(held *stage, order backend.Rollout) bool {
+	if held.suspectAt == 0 {
+		return true
+	}
+	since := s.Clock.Now() - held.suspectAt - suspectSpan
+	return float64(since) >= moveSpan*float64(order.Within)
+}
+
 // Due returns the outcome that should be recorded for an order now, if any. oldInFlight
 // is the number of requests that all instances have at older releases.
 func (s *Stager) Due(order backend.Rollout, oldInFlight int) backend.Outcome {
@@ -281,7 +302,9 @@
 	switch {
 	case held.bad != "":
 		return backend.OutcomeRolledBack
-	case part >= completeBy, part >= completeFrom && oldInFlight == 0:
+	case s.suspected(held):
+		return backend.OutcomeOpen
+	case part >= completeFrom && oldInFlight == 0, part >= completeBy && s.moved(held, order):
 		return backend.OutcomeCompleted
 	}
 	return backend.OutcomeOpen
--- /dev/null
+++ b/internal/version/stager/thin_test.go
@@ -0,0 +1,113 @@
+package stager_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"example.com/dotterelwell/internal/contract/backend"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/version/stager"
+)
+
+// tested is the time until half of a roll-out has passed, with a margin.
+const tested = 11 * clock.Second
+
+// pace draws the pace of a stream at servers of which some are slow, by up to a spread.
+func pace(rng *rand.Rand, spread float64) clock.Millis {
+	return clock.Millis(20 * math.Exp(rng.Float64()*math.Log(spread)))
+}
+
+// observe counts streams of both releases, the new ones' slowed for a share by a factor.
+func observe(s *stager.Stager, rng *rand.Rand, oldStreams, newStreams int, spread, slowShare, factor float64) {
+	for range oldStreams {
+		s.Delayed("engines", "v1", stager.DelayPace, "r", "m", pace(rng, spread))
+		s.Answered("engines", "v1", "r")
+	}
+	for range newStreams {
+		delay := pace(rng, spread)
+		if rng.Float64() < slowShare {
+			delay = clock.Millis(factor * float64(delay))
+		}
+		s.Delayed("engines", "v2", stager.DelayPace, "r", "m", delay)
+		s.Answered("engines", "v2", "r")
+	}
+}
+
+// TestThinEvidence keeps a release at its first share, and does not complete it, while the
+// evidence cannot tell a good release from one that is slow for a part of its requests:
+// most servers failed then, and the others' paces spread from 16 to 861 ms (a day on which
+// 301 of 966 requests met a bad release). It goes on once the evidence tells.
+func TestThinEvidence(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		newStreams int
+		spread     float64
+		slowShare  float64
+		held       bool
+	}{
+		{"few streams at servers of all paces", 14, 50, 0.4, true},
+		{"no stream at the new release", 0, 2, 0, true},
+		{"a good release at even servers", 35, 2, 0, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			f := newFleet(1)
+			s := f.stagers[0]
+			order := f.begin()
+			observe(s, rng, 80, tt.newStreams, tt.spread, tt.slowShare, 8)
+			for at := clock.Millis(0); at < within; at += 250 {
+				f.now = 1_000_000 + at
+				s.Tick()
+				share := newShare(s, order, 2000)
+				if at > tested && (share < 0.15) != tt.held {
+					t.Fatalf("share %.2f after %d ms, want held %v", share, at, tt.held)
+				}
+				if outcome := s.Due(order, 0); tt.held && outcome == backend.OutcomeCompleted {
+					t.Fatalf("completed after %d ms", at)
+				}
+			}
+		})
+	}
+}
+
+// TestLateRelease completes a held release after its time once the evidence is enough, and
+// leaves the requests at the older servers time to end.
+func TestLateRelease(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	f := newFleet(1)
+	s := f.stagers[0]
+	order := f.begin()
+	for f.now = 1_000_000; f.now < 1_000_000+within+within/4; f.now += 250 {
+		s.Tick()
+	}
+	if outcome := s.Due(order, 0); outcome != backend.OutcomeOpen {
+		t.Fatalf("outcome %q without any evidence", outcome)
+	}
+	observe(s, rng, 80, 60, 2, 0, 1)
+	cleared := f.now
+	for s.Due(order, 1) == backend.OutcomeOpen {
+		s.Tick()
+		if f.now += 250; f.now-cleared > within {
+			t.Fatal("never completed")
+		}
+		if share := newShare(s, order, 100); f.now-cleared > 3*clock.Second && share != 1 {
+			t.Fatalf("share %.2f with enough evidence", share)
+		}
+	}
+	if f.now-cleared < clock.Second {
+		t.Errorf("completed %d ms after its requests began to move, with one at an older server", f.now-cleared)
+	}
+}
+
+// TestIdleRelease completes a release of a service that nobody asks, though late.
+func TestIdleRelease(t *testing.T) {
+	f := newFleet(1)
+	order := f.begin()
+	for f.now = 1_000_000; f.now < 1_000_000+3*within; f.now += 250 {
+		f.stagers[0].Tick()
+	}
+	if outcome := f.stagers[0].Due(order, 0); outcome != backend.OutcomeCompleted {
+		t.Errorf("outcome %q", outcome)
+	}
+}
--- a/internal/version/stager/verdict.go
+++ b/internal/version/stager/verdict.go
@@ -7,6 +7,7 @@
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/backend"
+	"example.com/dotterelwell/internal/version/judge"
 )
 
 // Tick weighs the evidence about every open roll-out.
@@ -30,7 +31,8 @@
 }
 
 // judge weighs the evidence about an order and returns why its release is bad, if it is.
-// A release that is still suspect when its requests must move is not let through.
+// A release that is still suspect when its requests must move is not let through, and one
+// that the evidence does not clear stays at its first share until it does.
 func (s *Stager) judge(held *stage, order backend.Rollout) (reason string) {
 	collects := s.CollectsFunc == nil || s.CollectsFunc(order.Service)
 	finding := s.weigh(order, collects)
@@ -39,15 +41,26 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if finding.Strongest() >= suspicion {
-		held.suspectAt = s.Clock.Now()
-		if s.part(held, order) >= holdUntil {
-			return fmt.Sprintf("suspect when its time ran out (%.0f answers, evidence %.1f of %.0f)", finding.Answers, finding.Strongest(), finding.Limit)
-		}
+	part := s.part(held, order)
+	// What has cleared the release once stays: sessions that moved to it must not move back.
+	held.cleared = finding.Doubt <= enoughDoubt || held.cleared && part >= canaryUntil || part >= holdAtMost
+	if finding.Strongest() >= suspicion || !held.cleared {
+		s.hold(held, order, &finding)
+	}
+	if finding.Strongest() >= suspicion && part >= holdUntil {
+		return fmt.Sprintf("suspect when its time ran out (%.0f answers, evidence %.1f of %.0f)", finding.Answers, finding.Strongest(), finding.Limit)
 	}
 	return ""
 }
 
+// hold keeps a release at its first share for a while. The lock must be held.
+func (s *Stager) hold(held *stage, order backend.Rollout, finding *judge.Finding) {
+	if !s.suspected(held) {
+		klog.InfoS("Release is held at its first share", "service", order.Service, "target", order.Target, "answers", finding.Answers, "evidence", finding.Strongest(), "doubt", finding.Doubt)
+	}
+	held.suspectAt = s.Clock.Now()
+}
+
 // block records that a release is bad.
 func (s *Stager) block(service declaration.ServiceName, target backend.Release, reason string) {
 	s.mu.Lock()
