A server that failed most of its requests is tried again after half a minute

Cause: the failure share of a server moved only with its requests, and a share of 0.3 takes a server out while others remain: after a spell of trouble it got nothing for good (TestFailedServerReturns, red before: 0 of 30 requests).

Change: the share halves every 15 s without requests.

--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -203,7 +203,7 @@
 func (r *Roster) preferSound(now clock.Millis) {
 	sound := 0
 	for _, w := range r.scratch {
-		if now >= w.avoidUntil && now >= w.fullUntil && w.failures < failingShare {
+		if now >= w.avoidUntil && now >= w.fullUntil && w.failureShare(now) < failingShare {
 			sound++
 		}
 	}
@@ -211,7 +211,7 @@
 		return
 	}
 	r.scratch = slices.DeleteFunc(r.scratch, func(w *row) bool {
-		return now < w.avoidUntil || now < w.fullUntil || w.failures >= failingShare
+		return now < w.avoidUntil || now < w.fullUntil || w.failureShare(now) >= failingShare
 	})
 }
 
--- a/internal/machine/roster/advice_test.go
+++ b/internal/machine/roster/advice_test.go
@@ -129,3 +129,37 @@
 		}
 	}
 }
+
+// TestFailedServerReturns gives requests to a server again 90 s after it failed
+// most of them, though the others never failed: a server that was in trouble for a while
+// stayed unused for good.
+func TestFailedServerReturns(t *testing.T) {
+	one := newTable("x", []string{"x"}, 0)
+	draw := 0
+	one.DrawFunc = func(n int) int { draw++; return draw % n }
+	one.put(backend.Server{ID: "s-0"}, backend.Server{ID: "s-1"}, backend.Server{ID: "s-2"})
+	spread := func(requests int) map[ident.Server]int {
+		slots := one.take(roster.Want{}, requests)
+		counts := count(slots)
+		for _, slot := range slots {
+			slot.Answered(roster.Advice{Taken: true})
+			result := roster.ResultOK
+			if slot.Server.ID == "s-0" && one.now < 110_000 {
+				result = roster.ResultError
+			}
+			slot.Release(result)
+		}
+		return counts
+	}
+	for one.now < 110_000 {
+		spread(30)
+		one.now += 100
+	}
+	if got := spread(30)["s-0"]; got > 3 {
+		t.Errorf("%d of 30 requests to a server that failed all of its own until now", got)
+	}
+	one.now += 90 * clock.Second
+	if got := spread(30)["s-0"]; got < 5 {
+		t.Errorf("%d of 30 requests to the server 90 s later, want its part", got)
+	}
+}
--- a/internal/machine/roster/choice.go
+++ b/internal/machine/roster/choice.go
@@ -56,7 +56,7 @@
 				continue
 			}
 		}
-		cost := work + w.waiting(now) + requestCost*float64(w.inFlight+w.peers.Requests) + failureCost*w.failures
+		cost := work + w.waiting(now) + requestCost*float64(w.inFlight+w.peers.Requests) + failureCost*w.failureShare(now)
 		if w.info.Zone != r.Zone {
 			cost += remoteCost
 		}
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -293,7 +293,7 @@
 		w := r.rows[id]
 		rows = append(rows, Row{
 			Server: id, Service: w.info.Service, Zone: w.info.Zone, Release: w.info.Release, Leaving: w.leaving(),
-			PauseMs: max(w.closedUntil-now, 0), Cold: w.cold(now), InFlight: w.inFlight, Peers: w.peers.Requests, Failures: w.failures,
+			PauseMs: max(w.closedUntil-now, 0), Cold: w.cold(now), InFlight: w.inFlight, Peers: w.peers.Requests, Failures: w.failureShare(now),
 		})
 	}
 	return rows
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math"
 	"slices"
 
 	"example.com/dotterelwell/internal/contract/backend"
@@ -16,6 +17,10 @@
 	failureWeight = 0.2
 	// failingShare is the failure share from which other servers are preferred.
 	failingShare = 0.3
+	// failureHalfLife is the time in which the failure share of a server without requests
+	// halves: trouble lasts some seconds, and a server that fails all is tried again after half
+	// a minute.
+	failureHalfLife = 15 * clock.Second
 	// fullSpan is how long a server that refused a request as full is left alone.
 	fullSpan clock.Millis = 100
 	// coldWindow is the span in which requests to a cold server are counted. It exceeds
@@ -40,8 +45,9 @@
 	avoidUntil clock.Millis
 	avoidSpan  clock.Millis
 	fullUntil  clock.Millis
-	// failures is the moving share of requests that the server failed.
+	// failures is the moving share of requests that the server had failed at failedAt.
 	failures float64
+	failedAt clock.Millis
 	// unreachable is set after a failed connection, until a request succeeds. The
 	// server may be starting again, which makes it cold before its entry says so.
 	unreachable bool
@@ -105,7 +111,17 @@
 	case ResultAbandoned:
 		return
 	}
-	w.failures += failureWeight * (failed - w.failures)
+	w.failures = w.failureShare(now) + failureWeight*(failed-w.failureShare(now))
+	w.failedAt = now
+}
+
+// failureShare is the moving share of requests that the server failed. It fades when the
+// server gets none, so that it is tried again.
+func (w *row) failureShare(now clock.Millis) float64 {
+	if w.failures == 0 {
+		return 0
+	}
+	return w.failures * math.Exp2(-float64(now-w.failedAt)/float64(failureHalfLife))
 }
 
 func (w *row) avoid(now clock.Millis) {
