Usual terms in gossiper and roster; a paused service is a kind of its own

Gossip messages are called messages and merged; servers are healthy and releases unknown. Acquire tells by KindPaused that every server has asked for a pause, so that a request that waits does not look through the table twice.

--- a/internal/link/gossiper/choice.go
+++ b/internal/link/gossiper/choice.go
@@ -11,15 +11,15 @@
 	"example.com/dotterelwell/internal/machine/ident"
 )
 
-// partners returns the peers of a round, which depend on the roll-outs in the news.
-func (g *Gossiper) partners(round int, news News) []Peer {
+// partners returns the peers of a round, which depend on the roll-outs in the message.
+func (g *Gossiper) partners(round int, message Message) []Peer {
 	peers := g.PeersFunc()
 	chosen := map[ident.Instance]Peer{}
 	if watchers := g.holders(g.WatchedKind, watchDuty, g.neighbours(), g.watchers()); len(watchers) > 0 {
 		p := watchers[round%len(watchers)]
 		chosen[p.Instance] = p
 	}
-	for service := range news.Stages {
+	for service := range message.Stages {
 		for _, p := range g.collectors(service) {
 			chosen[p.Instance] = p
 		}
--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -1,9 +1,9 @@
-// Package gossiper passes news between instances: which store versions each has, how
+// Package gossiper passes messages between instances: which store versions each has, how
 // loaded servers are, how roll-outs stand. Where one instance is behind another in a
 // copy of the store's objects, it pulls what it lacks.
 //
-// All news merge in any order and any number of times, so a lost, late or repeated
-// message does no harm.
+// All messages merge in any order and any number of times, so a lost, late or repeated
+// one does no harm.
 package gossiper
 
 import (
@@ -47,7 +47,7 @@
 	maxTallies = 256
 )
 
-// Gossiper exchanges news. Set the exported fields before use.
+// Gossiper exchanges messages. Set the exported fields before use.
 type Gossiper struct {
 	Clock       *clock.Clock
 	Instance    ident.Instance
@@ -70,10 +70,10 @@
 	Tallier   *tallier.Tallier
 	// Accountant receives and gives the loads of servers.
 	Accountant *accountant.Accountant
-	// NewsFunc fills in loads and stages of this instance.
-	NewsFunc func() News
-	// OnNews receives a peer's news.
-	OnNews func(News)
+	// MessageFunc fills in loads and stages of this instance.
+	MessageFunc func() Message
+	// OnMessage receives a peer's message.
+	OnMessage func(Message)
 
 	packer packer.Packer
 
@@ -109,39 +109,39 @@
 	}
 }
 
-// Exchange exchanges news with some peers: one of the neighbours that watch the store,
+// Exchange exchanges messages with some peers: one of the neighbours that watch the store,
 // those that collect the evidence about open roll-outs, and a few at random.
 func (g *Gossiper) Exchange(ctx context.Context) {
-	news := g.news()
+	message := g.message()
 	var calls sync.WaitGroup
-	for _, p := range g.partners(int(g.rounds.Add(1)), news) {
-		calls.Go(func() { g.exchangeWith(ctx, p, news) })
+	for _, p := range g.partners(int(g.rounds.Add(1)), message) {
+		calls.Go(func() { g.exchangeWith(ctx, p, message) })
 	}
 	calls.Wait()
 }
 
-// Spread exchanges urgent news with the neighbours at once.
+// Spread sends the state with urgent changes to the neighbours at once.
 func (g *Gossiper) Spread(ctx context.Context) {
 	g.spreadTo(ctx, g.neighbours())
 }
 
-// SpreadAll exchanges urgent news with all peers at once.
+// SpreadAll sends the state with urgent changes to all peers at once.
 func (g *Gossiper) SpreadAll(ctx context.Context) {
 	g.spreadTo(ctx, g.PeersFunc())
 }
 
 func (g *Gossiper) spreadTo(ctx context.Context, peers []Peer) {
-	news := g.news()
+	message := g.message()
 	for _, p := range peers {
-		go g.exchangeWith(ctx, p, news)
+		go g.exchangeWith(ctx, p, message)
 	}
 }
 
-// exchangeWith tells a peer the news, with the evidence that it collects, and hears its.
-func (g *Gossiper) exchangeWith(ctx context.Context, p Peer, news News) {
-	serial := g.addEvidence(&news, p.Instance)
-	var reply News
-	err := g.call(ctx, p, "Exchange", news, &reply)
+// exchangeWith sends a peer the message, with the evidence that it collects, and merges its reply.
+func (g *Gossiper) exchangeWith(ctx context.Context, p Peer, message Message) {
+	serial := g.addEvidence(&message, p.Instance)
+	var reply Message
+	err := g.call(ctx, p, "Exchange", message, &reply)
 	g.noteContact(p.Instance, err)
 	if err != nil {
 		return
@@ -155,7 +155,7 @@
 	}
 	g.sent[p.Instance] = delivery{to: reply.Incarnation, serial: serial}
 	g.mu.Unlock()
-	g.hear(reply)
+	g.merge(reply)
 	g.catchUp(ctx, p, reply.Copies)
 }
 
@@ -181,9 +181,9 @@
 	}
 }
 
-// news returns the own news.
-func (g *Gossiper) news() News {
-	n := g.NewsFunc()
+// message returns this instance's state.
+func (g *Gossiper) message() Message {
+	n := g.MessageFunc()
 	n.From, n.Incarnation = g.Instance, g.Incarnation
 	g.Accountant.State(n.Loads)
 	if g.Large() && g.Watches(g.WatchedKind) {
@@ -202,7 +202,7 @@
 
 // addEvidence adds the own evidence about the roll-outs that a peer collects for, and
 // returns the tallier's serial up to which that is complete.
-func (g *Gossiper) addEvidence(n *News, peer ident.Instance) uint64 {
+func (g *Gossiper) addEvidence(n *Message, peer ident.Instance) uint64 {
 	collected := map[declaration.ModelName]bool{}
 	for service := range n.Stages {
 		for _, p := range g.collectors(service) {
@@ -224,7 +224,7 @@
 	return serial
 }
 
-func (g *Gossiper) hear(n News) {
+func (g *Gossiper) merge(n Message) {
 	g.mu.Lock()
 	if g.heard == nil {
 		g.heard = map[ident.Instance]clock.Millis{}
@@ -244,8 +244,8 @@
 	}
 	g.Accountant.Note(n.From, n.Loads)
 	g.Accountant.NoteSums(n.Sums)
-	if g.OnNews != nil {
-		g.OnNews(n)
+	if g.OnMessage != nil {
+		g.OnMessage(n)
 	}
 }
 
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -31,8 +31,8 @@
 	Lost bool
 }
 
-// News is one instance's news.
-type News struct {
+// Message is the state of one instance.
+type Message struct {
 	From        ident.Instance
 	Incarnation ident.Incarnation
 	// Copies tells how new each copy of the store's objects is.
--- a/internal/link/gossiper/service.go
+++ b/internal/link/gossiper/service.go
@@ -16,11 +16,11 @@
 // Service holds the methods that peers call. Its methods have the form of net/rpc.
 type Service struct{ gossiper *Gossiper }
 
-// Exchange takes in the caller's news and answers with the own.
-func (s *Service) Exchange(args News, reply *News) error {
+// Exchange takes in the caller's message and answers with this instance's.
+func (s *Service) Exchange(args Message, reply *Message) error {
 	g := s.gossiper
-	g.hear(args)
-	*reply = g.news()
+	g.merge(args)
+	*reply = g.message()
 	for _, p := range g.PeersFunc() {
 		if p.Instance == args.From {
 			go g.catchUp(context.Background(), p, args.Copies)
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -161,24 +161,24 @@
 	h.Gossiper = &gossiper.Gossiper{
 		Clock: h.Clock, Instance: h.Profile.Instance, Zone: h.Profile.Zone, Strength: h.Profile.Strength(), Incarnation: h.tallier.Owner,
 		Connector: h.Connector, PeersFunc: h.Enlister.Peers, Watchers: watchers, ZoneWatchers: zoneWatchers, WatchedKind: platform.RoutingKind, DutyKind: platform.RolloutKind,
-		Informers: h.informers, Tallier: h.tallier, Accountant: h.accountant, NewsFunc: h.news, OnNews: h.hear,
+		Informers: h.informers, Tallier: h.tallier, Accountant: h.accountant, MessageFunc: h.message, OnMessage: h.merge,
 	}
 	for _, i := range h.informers {
 		i.PullFunc = h.Gossiper.Pull
 	}
 }
 
-// news fills in what the gossiper tells peers.
-func (h *Host) news() gossiper.News {
+// message fills in what the gossiper tells peers.
+func (h *Host) message() gossiper.Message {
 	stages := h.Stager.Stages()
 	for service, s := range stages {
 		s.OldInFlight = h.Roster.OutsideInFlight(service, s.Target)
 		stages[service] = s
 	}
-	return gossiper.News{Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing()}
+	return gossiper.Message{Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing()}
 }
 
-func (h *Host) hear(n gossiper.News) {
+func (h *Host) merge(n gossiper.Message) {
 	h.mu.Lock()
 	h.peers[n.From] = n.Stages
 	h.mu.Unlock()
@@ -188,7 +188,7 @@
 		h.Roster.SetPeerLoads(h.accountant.Parts(), 0)
 	}
 	h.Roster.NoteDeparting(n.Departing)
-	h.Stager.Hear(n.Stages)
+	h.Stager.Merge(n.Stages)
 }
 
 func (h *Host) wireRequests() {
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -72,6 +72,9 @@
 	if alive == 0 {
 		return nil, fault.Newf(op, KindNoServer, "no server of %s is in service", want.Service)
 	}
+	if len(r.scratch) == 0 && r.allPaused() {
+		return nil, fault.Newf(op, KindPaused, "%d servers of %s want no requests for %d ms", alive, want.Service, r.reopensAt-now)
+	}
 	if len(r.scratch) == 0 {
 		return nil, fault.Newf(op, KindFull, "none of %d servers of %s may take a request now", alive, want.Service)
 	}
@@ -131,7 +134,7 @@
 		if w.leaving() || w.lapsesAt > 0 && w.unreachable || view.ZonesOut[w.info.Zone] || !onSide(w, side, order) {
 			continue
 		}
-		if !ordered && now-g.releases[w.info.Release] < strangeReleaseSpan {
+		if !ordered && now-g.releases[w.info.Release] < unknownReleaseSpan {
 			continue
 		}
 		alive++
@@ -145,7 +148,7 @@
 			r.otherwiseBusy = true
 		}
 	}
-	r.preferSound(now)
+	r.preferHealthy(now)
 	return alive
 }
 
@@ -199,15 +202,15 @@
 	return 0
 }
 
-// preferSound leaves out servers that failed lately or are full, if others remain.
-func (r *Roster) preferSound(now clock.Millis) {
-	sound := 0
+// preferHealthy leaves out servers that failed lately or are full, if others remain.
+func (r *Roster) preferHealthy(now clock.Millis) {
+	healthy := 0
 	for _, w := range r.scratch {
 		if now >= w.avoidUntil && now >= w.fullUntil && w.failureShare(now) < failingShare {
-			sound++
+			healthy++
 		}
 	}
-	if sound == 0 || sound == len(r.scratch) {
+	if healthy == 0 || healthy == len(r.scratch) {
 		return
 	}
 	r.scratch = slices.DeleteFunc(r.scratch, func(w *row) bool {
--- a/internal/machine/roster/advice.go
+++ b/internal/machine/roster/advice.go
@@ -121,15 +121,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	if r.gather(r.ViewFunc(), want, now) == 0 || len(r.scratch) > 0 {
-		return 0
-	}
-	if r.otherwiseBusy || r.reopensAt == 0 {
+	if r.gather(r.ViewFunc(), want, now) == 0 || len(r.scratch) > 0 || !r.allPaused() {
 		return 0
 	}
 	return max(r.reopensAt-now, 0)
 }
 
+// allPaused reports whether gather left out servers for a pause and no others. The lock
+// must be held.
+func (r *Roster) allPaused() bool { return r.reopensAt > 0 && !r.otherwiseBusy }
+
 // closed reports whether the server wants no request now. After its pause it gets one at
 // a time until it takes one.
 func (w *row) closed(now clock.Millis) bool {
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -31,6 +31,8 @@
 	KindNoServer Kind = "no-server"
 	// KindFull means that servers exist and none may take one more request now.
 	KindFull Kind = "full"
+	// KindPaused means that every server that may take the request has asked for a pause.
+	KindPaused Kind = "paused"
 	// KindDenied means that the last check forbade the request.
 	KindDenied Kind = "denied"
 )
@@ -42,9 +44,9 @@
 func KindOf(err error) Kind { return fault.KindOf[Kind](err) }
 
 const (
-	// strangeReleaseSpan is how long servers of a release that was never seen before wait
+	// unknownReleaseSpan is how long servers of a release that was never seen before wait
 	// for the roll-out order that may come with them.
-	strangeReleaseSpan clock.Millis = 1500
+	unknownReleaseSpan clock.Millis = 1500
 	// lapseSpan is how long after an outage of the store servers are kept whose entries
 	// lapsed meanwhile: those of servers that live are back within about two seconds.
 	lapseSpan = 2 * clock.Second
@@ -177,7 +179,7 @@
 		if _, known := g.releases[server.Release]; !known {
 			g.releases[server.Release] = now
 			if first {
-				g.releases[server.Release] = now - strangeReleaseSpan
+				g.releases[server.Release] = now - unknownReleaseSpan
 			}
 		}
 		g.rows = append(g.rows, held)
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -277,7 +277,7 @@
 	case message.KindStopping:
 		refusal.RetryAfter = stoppingRetry
 	case message.KindOverloaded:
-		refusal.RetryAfter = max(retryBase, x.Roster.ReopensIn(x.wantFor(x.servedModel())))
+		refusal.RetryAfter = max(retryBase, x.reopensIn())
 	}
 	return refusal
 }
@@ -315,15 +315,8 @@
 			return nil, refusal
 		}
 		left := waitUntil - x.Clock.Now()
-		if left <= 0 || x.Roster.ReopensIn(x.wantFor(x.servedModel())) > left {
-			kind := message.KindOverloaded
-			if roster.KindOf(err) == roster.KindNoServer {
-				kind = message.KindNoServer
-			}
-			if x.mayRun {
-				return nil, x.refuseUnserved(err)
-			}
-			return nil, x.refuse(kind, err)
+		if left <= 0 || roster.KindOf(err) == roster.KindPaused && x.reopensIn() > left {
+			return nil, x.refuseWaiting(err)
 		}
 		timer := time.NewTimer(min(left, recheckSpan).Duration())
 		select {
@@ -338,6 +331,22 @@
 	}
 }
 
+// reopensIn returns how long all servers that could take the request want none.
+func (x *run) reopensIn() clock.Millis {
+	return x.Roster.ReopensIn(x.wantFor(x.servedModel()))
+}
+
+// refuseWaiting ends a request that found no server.
+func (x *run) refuseWaiting(err error) *message.Refusal {
+	switch {
+	case x.mayRun:
+		return x.refuseUnserved(err)
+	case roster.KindOf(err) == roster.KindNoServer:
+		return x.refuse(message.KindNoServer, err)
+	}
+	return x.refuse(message.KindOverloaded, err)
+}
+
 // recheckSpan is how often a waiting request looks again without being woken: cold
 // servers become usable by time alone.
 const recheckSpan clock.Millis = 100
--- a/internal/version/stager/stager.go
+++ b/internal/version/stager/stager.go
@@ -255,8 +255,8 @@
 	return stages
 }
 
-// Hear takes in what another instance knows.
-func (s *Stager) Hear(stages map[declaration.ServiceName]Stage) {
+// Merge takes in what another instance knows.
+func (s *Stager) Merge(stages map[declaration.ServiceName]Stage) {
 	view := s.ViewFunc()
 	for service, told := range stages {
 		order, found := view.Rollouts[service]
