--- a/internal/link/gossiper/gossiper_test.go
+++ b/internal/link/gossiper/gossiper_test.go
@@ -70,10 +70,10 @@
 		Clock: c, Instance: p.Instance, Zone: p.Zone, Incarnation: ident.Incarnation(p.Instance),
 		Connector: &connector.Connector{DialFunc: f.network.Dialer(string(p.Instance))},
 		Watchers:  2, ZoneWatchers: 1, WatchedKind: kind, PeersFunc: func() []gossiper.Peer { return others },
-		Informers:  map[storer.ObjectKind]*informer.Informer{kind: m.copy},
-		Tallier:    &tallier.Tallier{Clock: c, Owner: ident.Incarnation(p.Instance)},
-		Accountant: &accountant.Accountant{Clock: c, Instance: p.Instance, Zone: p.Zone},
-		MessageFunc:   func() gossiper.Message { return *m.told.Load() },
+		Informers:   map[storer.ObjectKind]*informer.Informer{kind: m.copy},
+		Tallier:     &tallier.Tallier{Clock: c, Owner: ident.Incarnation(p.Instance)},
+		Accountant:  &accountant.Accountant{Clock: c, Instance: p.Instance, Zone: p.Zone},
+		MessageFunc: func() gossiper.Message { return *m.told.Load() },
 	}
 	l, err := f.network.Listen(string(p.Address))
 	if err != nil {
--- a/internal/version/judge/evidence.go
+++ b/internal/version/judge/evidence.go
@@ -181,16 +181,16 @@
 // are all zero.
 func shapeLogs(pairs []Pair, factor float64) []float64 {
 	logs := make([]float64, len(slowdowns))
-	comparable, after := false, 0.0
+	known, after := false, 0.0
 	for i := range pairs {
 		if n, _ := pairs[i].Before.MedianDelay(); pairs[i].Alike && n >= minBefore {
-			comparable = true
+			known = true
 			n, _ := pairs[i].After.MedianDelay()
 			after += n
 			addShapes(logs, &pairs[i], factor)
 		}
 	}
-	if !comparable {
+	if !known {
 		return nil
 	}
 	if after < minAfter {
