--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -64,6 +64,9 @@
 	// bodyPart is the part of the process's memory that the large bodies of all requests
 	// and answers may take together. It leaves the small machines their usual peak.
 	bodyPart = 1.0 / 16
+	// storeConnections bounds the idle connections to the store: one for each kind of object
+	// that is watched, and some for other calls.
+	storeConnections = 8
 	// maxStoreHeader bounds the header of an answer of the store, in bytes.
 	maxStoreHeader = 64 << 10
 )
@@ -126,7 +129,7 @@
 		budgets:   map[declaration.ServiceName]*retrier.Retrier{},
 		peers:     map[ident.Instance]map[declaration.ServiceName]stager.Stage{},
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: outside.DialFunc, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxStoreHeader, DisableCompression: true}}
+	client := StoreClient(outside.DialFunc)
 	h.Store = platform.NewStorer(p.StoreAddress, client, storeTimeout)
 	h.tallier = &tallier.Tallier{Clock: h.Clock, Owner: ident.NewIncarnation(p.Instance, h.Clock.Now())}
 	h.wireZone()
@@ -139,6 +142,13 @@
 	}
 }
 
+// StoreClient returns the HTTP client for the store. dial opens connections.
+func StoreClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: storeConnections, MaxResponseHeaderBytes: maxStoreHeader, DisableCompression: true,
+	}}
+}
+
 func (h *Host) currentBounds() profile.Bounds {
 	h.mu.Lock()
 	defer h.mu.Unlock()
