One look-up of a prompt part a decision, in place of one for each server

Change: the roster remembers where each part was sent, by its hash, in two generations; rows hold when their release was first seen. Choices are as before: parts count as kept for the same 10 s.

--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -82,7 +82,9 @@
 	chosen.inFlight++
 	chosen.pending += work
 	chosen.noteStart(now)
-	chosen.notePart(want.Part, now)
+	if want.Part != "" {
+		r.placements.note(affinityHash.Sum(want.Part), chosen, now)
+	}
 	trial := chosen.closedUntil > 0
 	chosen.trial = chosen.trial || trial
 	order, ordered := view.Rollouts[want.Service]
@@ -131,10 +133,13 @@
 	alive := 0
 	r.reopensAt, r.otherwiseBusy = 0, false
 	for _, w := range g.rows {
-		if w.leaving() || w.lapsesAt > 0 && w.unreachable || view.ZonesOut[w.info.Zone] || !onSide(w, side, order) {
+		if w.leaving() || w.lapsesAt > 0 && w.unreachable || !onSide(w, side, order) {
+			continue
+		}
+		if len(view.ZonesOut) > 0 && view.ZonesOut[w.info.Zone] {
 			continue
 		}
-		if !ordered && now-g.releases[w.info.Release] < unknownReleaseSpan {
+		if !ordered && now-w.releaseSeen < unknownReleaseSpan {
 			continue
 		}
 		alive++
--- a/internal/machine/roster/choice.go
+++ b/internal/machine/roster/choice.go
@@ -19,8 +19,6 @@
 	// keptShare is the part of a shared prompt part that is expected to be in a server's
 	// memory still when it was sent there before.
 	keptShare = 0.9
-	// keptSpan is how long a part is expected to be kept after its last use.
-	keptSpan = 10 * clock.Second
 	// nearSample and farSample are how many servers of the own zone and of other zones are
 	// compared, besides those that have the request's prompt. What is known of others' work
 	// is some tenths of a second old: if all instances compared all servers, they would all
@@ -34,16 +32,20 @@
 // choose picks the row at which the request is answered soonest among a sample of the
 // scratch rows, and returns the work that it causes there.
 func (r *Roster) choose(want Want, now clock.Millis) (*row, float64) {
-	home := r.home(want.Part)
+	part := r.markKept(want.Part, now)
+	home := r.home(part)
 	start := r.draw(len(r.scratch))
 	var best *row
 	bestCost, bestWork := 0.0, 0.0
 	near, far := 0, 0
 	for i := range r.scratch {
-		w := r.scratch[(start+i)%len(r.scratch)]
+		if i += start; i >= len(r.scratch) {
+			i -= len(r.scratch)
+		}
+		w := r.scratch[i]
 		work := want.OwnWork + want.SharedWork
-		switch kept := want.Part != "" && (w == home || now-w.parts[want.Part] < keptSpan); {
-		case kept:
+		switch {
+		case w == home, part != 0 && w.keptIn == r.decision:
 			work -= keptShare * want.SharedWork
 		case w.info.Zone == r.Zone:
 			near++
@@ -75,16 +77,28 @@
 	return rand.IntN(n)
 }
 
+// markKept marks the rows that this instance sent a shared part to lately. It returns the
+// hash of the part's name, or 0 for none.
+func (r *Roster) markKept(name string, now clock.Millis) (part uint64) {
+	if name == "" {
+		return 0
+	}
+	part = affinityHash.Sum(name)
+	r.decision++
+	r.placements.mark(part, r.decision, now)
+	return part
+}
+
 // home returns the scratch row of highest weight for a shared part: the one at which
 // all instances look for it first.
-func (r *Roster) home(part string) *row {
-	if part == "" {
+func (r *Roster) home(part uint64) *row {
+	if part == 0 {
 		return nil
 	}
 	var best *row
-	bestScore, item := uint64(0), affinityHash.Sum(part)
+	bestScore := uint64(0)
 	for _, w := range r.scratch {
-		if score := affinityHash.Mix(item, w.sum); best == nil || score > bestScore {
+		if score := affinityHash.Mix(part, w.sum); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -84,6 +84,9 @@
 	vanished map[backend.Incarnation]*row
 	// departures holds the runs of servers that are leaving, by their own word.
 	departures map[backend.Incarnation]bool
+	// placements holds where prompt parts were sent, and decision numbers the choices.
+	placements placements
+	decision   uint64
 	// scratch avoids an allocation for each choice.
 	scratch []*row
 	// reopensAt is the earliest end of a pause among the servers that gather left out for
@@ -176,14 +179,9 @@
 			g = &group{releases: map[backend.Release]clock.Millis{}}
 			r.services[server.Service] = g
 		}
-		if _, known := g.releases[server.Release]; !known {
-			g.releases[server.Release] = now
-			if first {
-				g.releases[server.Release] = now - unknownReleaseSpan
-			}
-		}
 		g.rows = append(g.rows, held)
 	}
+	held.releaseSeen = r.services[server.Service].noteRelease(server.Release, now, first)
 	if held.info.ID == "" || held.info.Leaving != server.Leaving || held.info.ColdFor != server.ColdFor {
 		klog.InfoS("Server entry", "server", server.ID, "service", server.Service, "zone", server.Zone, "release", server.Release, "leaving", server.Leaving, "cold-ms", server.ColdFor)
 	}
@@ -194,6 +192,20 @@
 	held.lapsesAt = 0
 }
 
+// noteRelease returns when a release was first seen. Those that the first entries name are
+// known from before.
+func (g *group) noteRelease(release backend.Release, now clock.Millis, first bool) clock.Millis {
+	seen, known := g.releases[release]
+	if !known {
+		seen = now
+		if first {
+			seen -= unknownReleaseSpan
+		}
+		g.releases[release] = seen
+	}
+	return seen
+}
+
 // rowFor returns a row for a server that is not in the table: the one that it had if its
 // entry had vanished.
 func (r *Roster) rowFor(server backend.Server) *row {
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -31,6 +31,8 @@
 // row is what is known of one run of a server.
 type row struct {
 	info backend.Server
+	// releaseSeen is when the first server of its service's release was seen.
+	releaseSeen clock.Millis
 	// sum is the hash of the server's identifier, for the homes of prompt parts.
 	sum      uint64
 	inFlight int
@@ -40,8 +42,8 @@
 	// peers is what other instances last said to have at the server, at peersAt.
 	peers   Load
 	peersAt clock.Millis
-	// parts holds when this instance last sent each shared part of prompts, by model.
-	parts      map[string]clock.Millis
+	// keptIn is the last decision whose prompt part the server is expected to keep.
+	keptIn     uint64
 	avoidUntil clock.Millis
 	avoidSpan  clock.Millis
 	fullUntil  clock.Millis
@@ -142,20 +144,6 @@
 	return w.pending + float64(max(w.peers.Pending-(now-w.peersAt), 0))
 }
 
-// maxParts bounds the shared parts that are remembered of one server.
-const maxParts = 1024
-
-// notePart remembers that a shared part was sent to the server.
-func (w *row) notePart(part string, now clock.Millis) {
-	if part == "" {
-		return
-	}
-	if w.parts == nil || len(w.parts) >= maxParts {
-		w.parts = map[string]clock.Millis{} // the server has dropped most of them as well
-	}
-	w.parts[part] = now
-}
-
 // cold reports whether the server is or may be in its cold start.
 func (w *row) cold(now clock.Millis) bool { return w.unreachable || now < w.coldUntil }
 
