An instance leaves its entry alone when the store writes its fields in another order

Cause: the own entry was compared as text with the stored one. Change: the entries are compared as decoded.

--- a/internal/zone/enlister/enlister.go
+++ b/internal/zone/enlister/enlister.go
@@ -3,7 +3,6 @@
 package enlister
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -114,15 +113,15 @@
 
 // enter writes the own entry if the list holds another, and reports whether it held none.
 func (e *Enlister) enter(ctx context.Context) (isNew bool) {
+	held, found := e.Informer.Get(string(e.Instance))
+	if found && e.holds(held.Value) {
+		return false
+	}
 	value, err := json.Marshal(e.Entry)
 	if err != nil {
 		klog.ErrorS(err, "Own entry cannot be encoded")
 		return false
 	}
-	held, found := e.Informer.Get(string(e.Instance))
-	if found && sameValue(held.Value, value) {
-		return false
-	}
 	pre := storer.Precondition{Absent: !found, Match: held.Version}
 	version, err := e.Store.Put(ctx, ObjectKind, string(e.Instance), value, pre)
 	if err != nil {
@@ -145,13 +144,10 @@
 	klog.InfoS("Entry of an instance that is gone", "instance", instance, "revision", held.Version, "removed", err == nil, "err", err)
 }
 
-// sameValue compares two JSON values that may differ in white space.
-func sameValue(a, b []byte) bool {
-	var first, second bytes.Buffer
-	if json.Compact(&first, a) != nil || json.Compact(&second, b) != nil {
-		return false
-	}
-	return bytes.Equal(first.Bytes(), second.Bytes())
+// holds reports whether a stored value is the entry, in whatever order its fields are.
+func (e *Enlister) holds(value []byte) bool {
+	var stored Entry
+	return json.Unmarshal(value, &stored) == nil && stored == e.Entry
 }
 
 // members is the list at one moment.
