A cleared release stays cleared when the instance that collects its evidence starts again

Change: instances tell one another that a release was cleared, and a hold for want of evidence is a statement of its own, which does not count then.

--- a/internal/machine/roster/choice.go
+++ b/internal/machine/roster/choice.go
@@ -39,10 +39,11 @@
 	bestCost, bestWork := 0.0, 0.0
 	near, far := 0, 0
 	for i := range r.scratch {
-		if i += start; i >= len(r.scratch) {
-			i -= len(r.scratch)
+		at := start + i
+		if at >= len(r.scratch) {
+			at -= len(r.scratch)
 		}
-		w := r.scratch[i]
+		w := r.scratch[at]
 		work := want.OwnWork + want.SharedWork
 		switch {
 		case w == home, part != 0 && w.keptIn == r.decision:
--- a/internal/version/stager/stager.go
+++ b/internal/version/stager/stager.go
@@ -98,6 +98,11 @@
 	// since when that has not been confirmed.
 	Suspect    bool
 	SuspectAge clock.Millis
+	// Thin is set while the evidence cannot clear the release, ThinAge tells since when that
+	// has not been confirmed, and Cleared is set once it did.
+	Thin    bool
+	ThinAge clock.Millis
+	Cleared bool
 	// OldInFlight is the number of the instance's requests at older releases.
 	OldInFlight int
 	// Kept holds the draws of sessions that would use the new release but had begun before.
@@ -131,7 +136,9 @@
 	bad    string
 	// suspectAt is when an instance last found the evidence growing; 0 for never.
 	suspectAt clock.Millis
-	// cleared is set once this instance's evidence can tell the release from a bad one.
+	// thinAt is when an instance last found the evidence too thin to clear the release; 0 for
+	// never. cleared is set once an instance found that it does.
+	thinAt  clock.Millis
 	cleared bool
 	kept    map[uint64]bool
 }
@@ -222,7 +229,7 @@
 // share returns the share of the sessions that use the new release.
 func (s *Stager) share(held *stage, part float64) float64 {
 	switch {
-	case part < canaryUntil, s.suspected(held):
+	case part < canaryUntil, s.onHold(held):
 		return canaryOfBound * s.ExposureShare
 	case part < halfFrom:
 		return quarterShare
@@ -247,6 +254,10 @@
 		if s.suspected(held) {
 			told.Suspect, told.SuspectAge = true, s.Clock.Now()-held.suspectAt
 		}
+		if s.isThin(held) {
+			told.Thin, told.ThinAge = true, s.Clock.Now()-held.thinAt
+		}
+		told.Cleared = held.cleared && s.part(held, order) >= canaryUntil
 		if told.Elapsed < opensAfter(order)+tellSpan {
 			told.Kept = slices.Collect(maps.Keys(held.kept))
 		}
@@ -269,6 +280,10 @@
 		if told.Suspect {
 			held.suspectAt = max(held.suspectAt, s.Clock.Now()-told.SuspectAge)
 		}
+		if told.Thin {
+			held.thinAt = max(held.thinAt, s.Clock.Now()-told.ThinAge)
+		}
+		held.cleared = held.cleared || told.Cleared
 		for _, draw := range told.Kept {
 			held.kept[draw] = true
 		}
@@ -282,10 +297,11 @@
 // moved reports whether the requests have had their time to move to the new release since
 // it was last held at its first share. The lock must be held.
 func (s *Stager) moved(held *stage, order backend.Rollout) bool {
-	if held.suspectAt == 0 {
+	last := max(held.suspectAt, held.thinAt)
+	if last == 0 {
 		return true
 	}
-	since := s.Clock.Now() - held.suspectAt - suspectSpan
+	since := s.Clock.Now() - last - suspectSpan
 	return float64(since) >= moveSpan*float64(order.Within)
 }
 
@@ -302,7 +318,7 @@
 	switch {
 	case held.bad != "":
 		return backend.OutcomeRolledBack
-	case s.suspected(held):
+	case s.onHold(held):
 		return backend.OutcomeOpen
 	case part >= completeFrom && oldInFlight == 0, part >= completeBy && s.moved(held, order):
 		return backend.OutcomeCompleted
--- a/internal/version/stager/thin_test.go
+++ b/internal/version/stager/thin_test.go
@@ -5,9 +5,11 @@
 	"math/rand/v2"
 	"testing"
 
+	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/version/stager"
+	"example.com/dotterelwell/internal/version/tallier"
 )
 
 // tested is the time until half of a roll-out has passed, with a margin.
@@ -111,3 +113,42 @@
 		t.Errorf("outcome %q", outcome)
 	}
 }
+
+// TestRestartedCollector keeps a release going that was cleared, at every instance, when
+// the instance that collects the evidence starts again and has none: sessions that moved
+// to the release would move back.
+func TestRestartedCollector(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	f := newFleet(2)
+	order := f.begin()
+	f.stagers[1].CollectsFunc = func(declaration.ServiceName) bool { return false }
+	observe(f.stagers[0], rng, 80, 40, 2, 0, 1)
+	step := func(until float64) {
+		for float64(f.now-1_000_000) < until*float64(within) {
+			f.now += 250
+			for _, s := range f.stagers {
+				s.Tick()
+			}
+			f.tell()
+		}
+	}
+	step(0.7)
+	restarted := newFleet(1).stagers[0]
+	restarted.Clock, restarted.ViewFunc = f.stagers[0].Clock, f.stagers[0].ViewFunc
+	restarted.Tallier = &tallier.Tallier{Clock: restarted.Clock, Owner: "run-c"}
+	f.stagers[0] = restarted
+	restarted.Tick()
+	for range 8 {
+		for i, s := range f.stagers[1:] {
+			if share := newShare(s, order, 1000); share < 0.4 {
+				t.Fatalf("instance %d gives the cleared release %.2f of the requests", i+1, share)
+			}
+		}
+		f.now += 250
+		restarted.Tick()
+		f.tell()
+	}
+	if share := newShare(restarted, order, 1000); share < 0.4 {
+		t.Errorf("the restarted instance gives the cleared release %.2f of the requests", share)
+	}
+}
--- a/internal/version/stager/verdict.go
+++ b/internal/version/stager/verdict.go
@@ -7,7 +7,6 @@
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/backend"
-	"example.com/dotterelwell/internal/version/judge"
 )
 
 // Tick weighs the evidence about every open roll-out.
@@ -42,10 +41,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	part := s.part(held, order)
-	// What has cleared the release once stays: sessions that moved to it must not move back.
+	// A release that was cleared stays so: sessions that moved to it must not move back.
 	held.cleared = finding.Doubt <= enoughDoubt || held.cleared && part >= canaryUntil || part >= holdAtMost
-	if finding.Strongest() >= suspicion || !held.cleared {
-		s.hold(held, order, &finding)
+	wasOnHold := s.onHold(held)
+	if !held.cleared {
+		held.thinAt = s.Clock.Now()
+	}
+	if finding.Strongest() >= suspicion {
+		held.suspectAt = s.Clock.Now()
+	}
+	if s.onHold(held) && !wasOnHold {
+		klog.InfoS("Release is held at its first share", "service", order.Service, "target", order.Target, "answers", finding.Answers, "evidence", finding.Strongest(), "doubt", finding.Doubt)
 	}
 	if finding.Strongest() >= suspicion && part >= holdUntil {
 		return fmt.Sprintf("suspect when its time ran out (%.0f answers, evidence %.1f of %.0f)", finding.Answers, finding.Strongest(), finding.Limit)
@@ -53,14 +59,6 @@
 	return ""
 }
 
-// hold keeps a release at its first share for a while. The lock must be held.
-func (s *Stager) hold(held *stage, order backend.Rollout, finding *judge.Finding) {
-	if !s.suspected(held) {
-		klog.InfoS("Release is held at its first share", "service", order.Service, "target", order.Target, "answers", finding.Answers, "evidence", finding.Strongest(), "doubt", finding.Doubt)
-	}
-	held.suspectAt = s.Clock.Now()
-}
-
 // block records that a release is bad.
 func (s *Stager) block(service declaration.ServiceName, target backend.Release, reason string) {
 	s.mu.Lock()
@@ -83,3 +81,11 @@
 func (s *Stager) suspected(held *stage) bool {
 	return held.suspectAt > 0 && s.Clock.Now()-held.suspectAt < suspectSpan
 }
+
+// isThin reports whether the evidence cannot clear a release yet. The lock must be held.
+func (s *Stager) isThin(held *stage) bool {
+	return !held.cleared && held.thinAt > 0 && s.Clock.Now()-held.thinAt < suspectSpan
+}
+
+// onHold reports whether a release stays at its first share. The lock must be held.
+func (s *Stager) onHold(held *stage) bool { return s.suspected(held) || s.isThin(held) }
