--- a/internal/machine/logger/logger.go
+++ b/internal/machine/logger/logger.go
@@ -17,16 +17,18 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// closing is closed when the logger is to end, and done when it has.
+	closing, done chan struct{}
 }
 
 // New returns a Logger that writes to out, and a function that writes what waits and
-// ends it. Nothing may be written afterwards.
+// ends it. Lines that are written afterwards are dropped: requests that are cut at the end
+// of a stop still log.
 func New(out io.Writer) (*Logger, func()) {
-	l := &Logger{out: out, lines: make(chan []byte, backlog), done: make(chan struct{})}
+	l := &Logger{out: out, lines: make(chan []byte, backlog), closing: make(chan struct{}), done: make(chan struct{})}
 	go l.run()
 	return l, func() {
-		close(l.lines)
+		close(l.closing)
 		<-l.done
 	}
 }
@@ -44,10 +46,27 @@
 
 func (l *Logger) run() {
 	defer close(l.done)
-	for line := range l.lines {
-		if n := l.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(l.out, "I \"Log lines were dropped\" count=%d\n", n) // there is nowhere else to report to
+	for {
+		select {
+		case line := <-l.lines:
+			l.print(line)
+		case <-l.closing:
+			l.printWaiting()
+			return
 		}
-		_, _ = l.out.Write(line) // there is nowhere else to report to
 	}
 }
+
+// printWaiting prints the lines that wait now.
+func (l *Logger) printWaiting() {
+	for range len(l.lines) {
+		l.print(<-l.lines)
+	}
+}
+
+func (l *Logger) print(line []byte) {
+	if n := l.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(l.out, "I \"Log lines were dropped\" count=%d\n", n) // there is nowhere else to report to
+	}
+	_, _ = l.out.Write(line) // there is nowhere else to report to
+}
