Log and count what servers say of their rate limits

Neither the logs nor the metrics told when an instance learned of a server's Server-Limit, or what it sent the server since: an attempt's record has the result and the times only.

Each change is a log line with what this instance has sent since the limit began, /status shows the limit, and limited_sends_total counts. Which server gets a request does not depend on it yet. The header is not passed on to callers, as Server-Leaving is not.

--- a/internal/contract/backend/backend.go
+++ b/internal/contract/backend/backend.go
@@ -38,6 +38,14 @@
 	Born clock.Millis
 }
 
+// RateLimit is the number of requests per second that a server accepts from all instances
+// together. Its zero value is no limit.
+type RateLimit struct {
+	// Named is set if the server names a limit, which may be 0.
+	Named     bool
+	PerSecond float64
+}
+
 // Incarnation identifies one run of a server's process. A server that restarts at the
 // same address is another incarnation, even if it keeps its identifier.
 type Incarnation struct {
--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -115,6 +115,8 @@
 	RetryAfter clock.Millis
 	// Leaving is set when the server is about to stop and accepts no new requests.
 	Leaving bool
+	// RateLimit is the limit that the server names for the requests of all instances together.
+	RateLimit backend.RateLimit
 }
 
 // BelongsTo reports whether the answer belongs to the request id. An answer without a
--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -94,7 +94,8 @@
 		Clock: h.Clock, Instance: h.Profile.Instance, Zone: h.Profile.Zone,
 		ViewFunc: h.Curator.View, DecodeFunc: platform.DecodeServer, OutageEndedAtFunc: servers.OutageEndedAt,
 		InstancesFunc: h.Enlister.Names, ColdRateFunc: h.coldRate,
-		OnFreed: func() { h.Runner.WakeWaiters() },
+		OnLimitedSend: func(service declaration.ServiceName) { h.Meter.LimitedSends.WithLabelValues(string(service)).Inc() },
+		OnFreed:       func() { h.Runner.WakeWaiters() },
 	}
 	h.Stager = &stager.Stager{
 		Clock: h.Clock, ViewFunc: h.Curator.View, Tallier: h.tallier,
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -85,6 +85,12 @@
 	chosen.inFlight++
 	chosen.pending += work
 	chosen.recordStart(now)
+	if chosen.rateLimit.Named {
+		chosen.sentWhileLimited++
+		if r.OnLimitedSend != nil {
+			r.OnLimitedSend(want.Service)
+		}
+	}
 	if want.SharedPart != "" {
 		r.placements.record(affinityHash.HashName(want.SharedPart), chosen, now)
 	}
--- a/internal/machine/roster/advice.go
+++ b/internal/machine/roster/advice.go
@@ -16,6 +16,8 @@
 	// RetryAfter is how long the server wants no requests from this instance; zero if the
 	// server did not ask for a pause.
 	RetryAfter clock.Millis
+	// RateLimit is the limit that the server names for the requests of all instances together.
+	RateLimit backend.RateLimit
 }
 
 const (
@@ -38,6 +40,9 @@
 		r.markDeparting(s.row, "its own answer")
 	}
 	now := r.Clock.Now()
+	if status.Accepted || status.RateLimit.Named {
+		s.row.recordRateLimit(status.RateLimit, now)
+	}
 	if status.RetryAfter > 0 {
 		jitter := r.randIntN(int(retryJitter*float64(status.RetryAfter)) + 1)
 		s.row.pausedUntil = max(s.row.pausedUntil, now+status.RetryAfter+clock.Millis(jitter))
@@ -48,6 +53,19 @@
 	}
 }
 
+// recordRateLimit records the limit that the server named in an answer.
+func (w *row) recordRateLimit(limit backend.RateLimit, now clock.Millis) {
+	if limit == w.rateLimit {
+		return
+	}
+	if !w.rateLimit.Named {
+		w.limitedSince, w.sentWhileLimited = now, 0
+	}
+	klog.InfoS("Server changes its rate limit", "server", w.info.ID, "service", w.info.Service, "named", limit.Named, "per-second", limit.PerSecond,
+		"before", w.rateLimit.PerSecond, "limited-ms", now-w.limitedSince, "sent-meanwhile", w.sentWhileLimited)
+	w.rateLimit = limit
+}
+
 // endTrial ends the trial request, the single request that a server gets after its pause. If
 // the server accepted it, the pause is over for other requests as well.
 func (s *Slot) endTrial(accepted bool) {
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -77,6 +77,9 @@
 	ColdRateFunc func(service declaration.ServiceName) float64
 	// RandIntNFunc, when set, replaces the random number generator: it returns a number in [0, n).
 	RandIntNFunc func(n int) int
+	// OnLimitedSend, when set, is called with the table's lock held when a request is to be sent
+	// to a server that names a rate limit.
+	OnLimitedSend func(service declaration.ServiceName)
 	// OnFreed, when set, is called without the lock when a server may have become usable.
 	OnFreed func()
 
@@ -303,11 +306,16 @@
 	Leaving bool                    `json:"leaving"`
 	// PauseMs is the remaining time for which the server asked to get no requests from this
 	// instance.
-	PauseMs  clock.Millis `json:"pause-ms"`
-	Cold     bool         `json:"cold"`
-	InFlight int          `json:"in-flight"`
-	Peers    int          `json:"peers-in-flight"`
-	Failures float64      `json:"failure-share"`
+	PauseMs clock.Millis `json:"pause-ms"`
+	// Limited is set while the server names a rate limit, LimitPerSecond, for all instances
+	// together. SentWhileLimited is how many requests this instance has sent it since.
+	Limited          bool    `json:"limited"`
+	LimitPerSecond   float64 `json:"limit-per-second"`
+	SentWhileLimited int     `json:"sent-while-limited"`
+	Cold             bool    `json:"cold"`
+	InFlight         int     `json:"in-flight"`
+	Peers            int     `json:"peers-in-flight"`
+	Failures         float64 `json:"failure-share"`
 }
 
 // Rows returns the table sorted by server.
@@ -320,7 +328,7 @@
 		w := r.rows[id]
 		rows = append(rows, Row{
 			Server: id, Service: w.info.Service, Zone: w.info.Zone, Release: w.info.Release, Leaving: w.leaving(),
-			PauseMs: max(w.pausedUntil-now, 0), Cold: w.cold(now), InFlight: w.inFlight, Peers: w.peers.Requests, Failures: w.failureShare(now),
+			PauseMs: max(w.pausedUntil-now, 0), Limited: w.rateLimit.Named, LimitPerSecond: w.rateLimit.PerSecond, SentWhileLimited: w.sentWhileLimited, Cold: w.cold(now), InFlight: w.inFlight, Peers: w.peers.Requests, Failures: w.failureShare(now),
 		})
 	}
 	return rows
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -72,6 +72,11 @@
 	// the pause is in flight.
 	pausedUntil clock.Millis
 	trial       bool
+	// rateLimit is the limit that the server last named. limitedSince is when it began to name
+	// one, and sentWhileLimited is how many requests this instance has sent it since.
+	rateLimit        backend.RateLimit
+	limitedSince     clock.Millis
+	sentWhileLimited int
 }
 
 // leaving reports whether the server takes no new work.
