Keep to the rate limit that a server names for all instances together

Cause: no instance read Server-Limit. What a server says of itself in an answer had two meanings in the roster, leaving and a pause for the one caller; a limit for all callers together had none, so a limited server was chosen like any other.

Why this works: a limit read by each instance for itself would be exceeded by the number of instances, and an equal part for each of 400 instances would let 400 requests through at once or starve the server. The limit is split into permits, 2 and one for each request a second, whose holders all instances compute alike. The number of permits bounds the burst: 4 s bring at most 4 limits and one request for each permit, where 6 limits and 5 requests are allowed; the rest is for instances that disagree for a moment. A holder without work passes its permit on once its credit is full, one that is not reached or not heard of loses it, and the smaller side of a partition uses only its part. News of limits goes with the exchanges of instances; keeping to them needs no news, so neither the store nor a lost peer matters. A limit ends with an answer without one to a request sent since it was known.

Requests that only limits or pauses hold back wait if their turn comes in time, behind those that wait already, and are refused at once otherwise.

--- a/internal/link/gossiper/choice.go
+++ b/internal/link/gossiper/choice.go
@@ -144,6 +144,31 @@
 	return append(chosen, self) // the selected holders may be partitioned from this instance
 }
 
+// Reachable returns the names of this instance and of all peers but those that it cannot exchange
+// messages with. share is the number of instances reached lately, this one included, divided by
+// the number of those that it tried to reach.
+func (g *Gossiper) Reachable() (names []string, share float64) {
+	peers := g.PeersFunc()
+	now := g.Clock.Now()
+	names = append(make([]string, 0, len(peers)+1), string(g.Instance))
+	reached, unreached := 1.0, 0.0
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range peers {
+		at, heard := g.lastMessageAt[p.Instance]
+		since, failing := g.failingSince[p.Instance]
+		switch {
+		case heard && now-at < aliveTimeout:
+			reached++
+		case failing && now-since >= aliveTimeout && now-g.lastFailedAt[p.Instance] < unreachableRetention:
+			unreached++
+			continue
+		}
+		names = append(names, string(p.Instance))
+	}
+	return names, reached / (reached + unreached)
+}
+
 // responding returns the peers whose last call succeeded or that have not been called yet.
 func (g *Gossiper) responding(peers []Peer) []Peer {
 	g.mu.Lock()
--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -42,6 +42,9 @@
 	randomPeersSmall = 3
 	// failureBackoff is how long after a failed call a peer is not selected as a holder.
 	failureBackoff = 3 * clock.Second
+	// unreachableRetention is how long a failed call makes a peer count as unreachable. In a large
+	// fleet minutes pass until the peer is called again.
+	unreachableRetention = 10 * clock.Second
 	// aliveTimeout is how long after its last message a peer counts as alive.
 	aliveTimeout = 3 * clock.Second
 	// maxTallies bounds the number of tallies in one message.
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -7,6 +7,7 @@
 	"example.com/dotterelwell/internal/link/packer"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/internal/machine/roster"
 	"example.com/dotterelwell/internal/version/stager"
 	"example.com/dotterelwell/internal/version/tallier"
 	"example.com/dotterelwell/internal/zone/accountant"
@@ -48,6 +49,8 @@
 	// Departing holds the servers that announced in an answer that they are leaving, and
 	// whose entries in the store do not say so.
 	Departing []backend.Incarnation
+	// Limits holds what the sender knows of the rate limits that servers name.
+	Limits []roster.LimitReport
 	// Tallies holds the sender's evidence that the recipient collects.
 	Tallies []tallier.Entry
 }
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -185,7 +185,7 @@
 		s.OldInFlight = h.Roster.InFlightOnOtherReleases(service, s.Target)
 		stages[service] = s
 	}
-	return gossiper.Message{Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing()}
+	return gossiper.Message{Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing(), Limits: h.Roster.LimitReports()}
 }
 
 func (h *Host) merge(n gossiper.Message) {
@@ -198,6 +198,7 @@
 		h.Roster.SetPeerLoads(h.accountant.InstanceLoads(), 0)
 	}
 	h.Roster.MergeDeparting(n.Departing)
+	h.Roster.MergeLimits(n.Limits)
 	h.Stager.Merge(n.Stages)
 }
 
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -163,6 +163,7 @@
 		if err := h.Clock.Sleep(ctx, tickEvery); err != nil {
 			return nil
 		}
+		h.Roster.SetReachable(h.Gossiper.Reachable())
 		h.Roster.Tick()
 		h.Transporter.Sweep()
 		h.Sweeper.Sweep()
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -51,12 +51,13 @@
 	// OnTargetRelease is set when the server runs the target release of the current roll-out.
 	OnTargetRelease bool
 
-	roster    *Roster
-	row       *row
-	work      float64
-	prefilled bool
-	released  bool
-	trial     bool // first request after a pause that the server asked for, as in a half-open circuit breaker
+	acquiredAt clock.Millis
+	roster     *Roster
+	row        *row
+	work       float64
+	prefilled  bool
+	released   bool
+	trial      bool // first request after a pause that the server asked for, as in a half-open circuit breaker
 }
 
 // Acquire chooses a server and takes a slot at it. It does not wait.
@@ -71,12 +72,15 @@
 		}
 	}
 	now := r.Clock.Now()
+	if g := r.services[want.Service]; g != nil {
+		g.lastWantedAt = now
+	}
 	alive := r.gather(view, want, now)
 	if alive == 0 {
 		return nil, fault.Newf(op, KindNoServer, "no server of %s is in service", want.Service)
 	}
-	if len(r.scratch) == 0 && r.allPaused() {
-		return nil, fault.Newf(op, KindPaused, "%d servers of %s want no requests for %d ms", alive, want.Service, r.firstPauseEnd-now)
+	if len(r.scratch) == 0 && r.leftOut.onlyPausedOrLimited() {
+		return nil, fault.Newf(op, KindPaused, "%d servers of %s want no requests for %d ms", alive, want.Service, r.leftOut.retryAfter(now))
 	}
 	if len(r.scratch) == 0 {
 		return nil, fault.Newf(op, KindFull, "none of %d servers of %s may take a request now", alive, want.Service)
@@ -85,19 +89,14 @@
 	chosen.inFlight++
 	chosen.pending += work
 	chosen.recordStart(now)
-	if chosen.rateLimit.Named {
-		chosen.sentWhileLimited++
-		if r.OnLimitedSend != nil {
-			r.OnLimitedSend(want.Service)
-		}
-	}
+	r.useLimit(chosen, now)
 	if want.SharedPart != "" {
 		r.placements.record(affinityHash.HashName(want.SharedPart), chosen, now)
 	}
 	trial := chosen.pausedUntil > 0
 	chosen.trial = chosen.trial || trial
 	order, ordered := view.Rollouts[want.Service]
-	return &Slot{Server: chosen.info, OnTargetRelease: ordered && order.Target == chosen.info.Release, roster: r, row: chosen, work: work, trial: trial}, nil
+	return &Slot{acquiredAt: now, Server: chosen.info, OnTargetRelease: ordered && order.Target == chosen.info.Release, roster: r, row: chosen, work: work, trial: trial}, nil
 }
 
 // Estimate returns, in milliseconds, how long a request would wait at the server that would be
@@ -140,7 +139,8 @@
 func (r *Roster) gatherSide(g *group, view *curator.View, want Want, now clock.Millis, side Side) int {
 	order, ordered := view.Rollouts[want.Service]
 	alive := 0
-	r.firstPauseEnd, r.leftOutUnpaused = 0, false
+	r.leftOut = leftOut{}
+	fleet := r.fleet()
 	for _, w := range g.rows {
 		if w.leaving() || w.expiresAt > 0 && w.unreachable || !onSide(w, side, order) {
 			continue
@@ -155,29 +155,21 @@
 		switch {
 		case slices.Contains(want.Exclude, w.info.ID):
 		case w.paused(now):
-			r.recordPause(w)
-		case r.withinColdLimit(w, now):
-			r.scratch = append(r.scratch, w)
+			r.leftOut.addPaused(w)
+		case !r.withinColdLimit(w, now):
+			r.leftOut.otherwise = true
 		default:
-			r.leftOutUnpaused = true
+			if allowance := w.allowance(fleet, now); allowance.NextAt > now || allowance.Held == 0 {
+				r.leftOut.addLimited(w, allowance)
+				continue
+			}
+			r.scratch = append(r.scratch, w)
 		}
 	}
 	r.preferHealthy(now)
 	return alive
 }
 
-// recordPause updates firstPauseEnd for a server that is left out because of its pause. If the
-// server's trial request is in flight, the end of the pause depends on its outcome, so the
-// server also counts as left out for another reason.
-func (r *Roster) recordPause(w *row) {
-	if w.trial {
-		r.leftOutUnpaused = true
-	}
-	if r.firstPauseEnd == 0 || w.pausedUntil < r.firstPauseEnd {
-		r.firstPauseEnd = w.pausedUntil
-	}
-}
-
 func onSide(w *row, side Side, order backend.Rollout) bool {
 	switch side {
 	case SideOld:
--- a/internal/machine/roster/advice.go
+++ b/internal/machine/roster/advice.go
@@ -18,6 +18,9 @@
 	RetryAfter clock.Millis
 	// RateLimit is the limit that the server names for the requests of all instances together.
 	RateLimit backend.RateLimit
+	// Served is set when the server has served the request, so that an answer without a rate
+	// limit shows that the server has none.
+	Served bool
 }
 
 const (
@@ -40,8 +43,8 @@
 		r.markDeparting(s.row, "its own answer")
 	}
 	now := r.Clock.Now()
-	if status.Accepted || status.RateLimit.Named {
-		s.row.recordRateLimit(status.RateLimit, now)
+	if status.Served || status.RateLimit.Named {
+		s.row.observeLimit(status.RateLimit, s.acquiredAt, now)
 	}
 	if status.RetryAfter > 0 {
 		jitter := r.randIntN(int(retryJitter*float64(status.RetryAfter)) + 1)
@@ -53,19 +56,6 @@
 	}
 }
 
-// recordRateLimit records the limit that the server named in an answer.
-func (w *row) recordRateLimit(limit backend.RateLimit, now clock.Millis) {
-	if limit == w.rateLimit {
-		return
-	}
-	if !w.rateLimit.Named {
-		w.limitedSince, w.sentWhileLimited = now, 0
-	}
-	klog.InfoS("Server changes its rate limit", "server", w.info.ID, "service", w.info.Service, "named", limit.Named, "per-second", limit.PerSecond,
-		"before", w.rateLimit.PerSecond, "limited-ms", now-w.limitedSince, "sent-meanwhile", w.sentWhileLimited)
-	w.rateLimit = limit
-}
-
 // endTrial ends the trial request, the single request that a server gets after its pause. If
 // the server accepted it, the pause is over for other requests as well.
 func (s *Slot) endTrial(accepted bool) {
@@ -136,22 +126,6 @@
 	}
 }
 
-// PauseRemaining returns how long until the first pause ends, if pauses are the only reason why
-// no server may take the request now, and zero otherwise.
-func (r *Roster) PauseRemaining(want Want) clock.Millis {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	if r.gather(r.ViewFunc(), want, now) == 0 || len(r.scratch) > 0 || !r.allPaused() {
-		return 0
-	}
-	return max(r.firstPauseEnd-now, 0)
-}
-
-// allPaused reports whether gather left out servers because of a pause and for no other reason.
-// The lock must be held.
-func (r *Roster) allPaused() bool { return r.firstPauseEnd > 0 && !r.leftOutUnpaused }
-
 // paused reports whether the server wants no request now. After its pause it gets one request
 // at a time until it accepts one.
 func (w *row) paused(now clock.Millis) bool {
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -21,6 +21,7 @@
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/zone/curator"
+	"example.com/dotterelwell/internal/zone/rationer"
 )
 
 // Kind classifies the package's errors.
@@ -97,11 +98,10 @@
 	decision   uint64
 	// scratch holds the candidates of the current choice; it is reused to avoid allocations.
 	scratch []*row
-	// firstPauseEnd is the earliest end of a pause among the servers that gather left out
-	// because of a pause. leftOutUnpaused is set when gather left out a server for another
-	// reason.
-	firstPauseEnd   clock.Millis
-	leftOutUnpaused bool
+	// leftOut tells why gather left out servers.
+	leftOut leftOut
+	// reachable is what SetReachable set.
+	reachable rationer.Fleet
 }
 
 // group holds the servers of one service.
@@ -109,6 +109,10 @@
 	rows []*row
 	// releases holds when this instance first saw each release.
 	releases map[backend.Release]clock.Millis
+	// lastWantedAt is when a request for the service last asked for a slot.
+	lastWantedAt clock.Millis
+	// waiting is the number of requests that wait for a server's pause or rate limit.
+	waiting int
 }
 
 // Apply updates the table from changed server entries of the store.
@@ -242,6 +246,7 @@
 			r.vanish(held, now)
 		}
 	}
+	r.passOnPermits(now)
 	for incarnation, held := range r.vanished {
 		if now-held.vanishedAt >= vanishedRetention {
 			delete(r.vanished, incarnation)
@@ -328,7 +333,7 @@
 		w := r.rows[id]
 		rows = append(rows, Row{
 			Server: id, Service: w.info.Service, Zone: w.info.Zone, Release: w.info.Release, Leaving: w.leaving(),
-			PauseMs: max(w.pausedUntil-now, 0), Limited: w.rateLimit.Named, LimitPerSecond: w.rateLimit.PerSecond, SentWhileLimited: w.sentWhileLimited, Cold: w.cold(now), InFlight: w.inFlight, Peers: w.peers.Requests, Failures: w.failureShare(now),
+			PauseMs: max(w.pausedUntil-now, 0), Limited: w.limited(), LimitPerSecond: w.limit().PerSecond, SentWhileLimited: w.sentWhileLimited, Cold: w.cold(now), InFlight: w.inFlight, Peers: w.peers.Requests, Failures: w.failureShare(now),
 		})
 	}
 	return rows
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -6,6 +6,7 @@
 
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/zone/rationer"
 )
 
 const (
@@ -72,9 +73,12 @@
 	// the pause is in flight.
 	pausedUntil clock.Millis
 	trial       bool
-	// rateLimit is the limit that the server last named. limitedSince is when it began to name
-	// one, and sentWhileLimited is how many requests this instance has sent it since.
-	rateLimit        backend.RateLimit
+	// rationer holds the rate limit that the server names, and this instance's part of it; nil
+	// for a server that never named one. permitsHeld is the number of its permits at the last
+	// request that the server could have taken. limitedSince is when the server began to name one, and
+	// sentWhileLimited is how many requests this instance has sent it since.
+	rationer         *rationer.Rationer
+	permitsHeld      int
 	limitedSince     clock.Millis
 	sentWhileLimited int
 }
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -288,7 +288,7 @@
 	case message.KindStopping:
 		refusal.RetryAfter = stoppingRetryAfter
 	case message.KindOverloaded:
-		refusal.RetryAfter = max(defaultRetryAfter, x.pausedFor())
+		refusal.RetryAfter = max(defaultRetryAfter, x.pause(false).RetryAfter)
 	}
 	return refusal
 }
@@ -314,6 +314,12 @@
 // acquire takes a slot at a server. If none is free, it waits for up to slotTimeout.
 func (x *execution) acquire() (*roster.Slot, *message.Refusal) {
 	waitUntil := x.Clock.Now() + x.slotTimeout()
+	var endWait func()
+	defer func() {
+		if endWait != nil {
+			endWait()
+		}
+	}()
 	for {
 		freed := x.slotFreed.wait()
 		slot, err := x.Roster.Acquire(x.wantFor(x.requestedModel()))
@@ -328,9 +334,13 @@
 			return nil, refusal
 		}
 		left := waitUntil - x.Clock.Now()
-		if left <= 0 || roster.KindOf(err) == roster.KindPaused && x.pausedFor() > left {
+		paused := roster.KindOf(err) == roster.KindPaused
+		if left <= 0 || paused && x.pause(endWait != nil).Wait > left {
 			return nil, x.refuseNoSlot(err)
 		}
+		if paused && endWait == nil {
+			endWait = x.Roster.StartWait(x.service)
+		}
 		timer := time.NewTimer(min(left, slotPollInterval).Duration())
 		select {
 		case <-freed:
@@ -344,10 +354,10 @@
 	}
 }
 
-// pausedFor returns how long all servers that could take the request have asked for a
-// pause, or 0 if any server is unavailable for another reason.
-func (x *execution) pausedFor() clock.Millis {
-	return x.Roster.PauseRemaining(x.wantFor(x.requestedModel()))
+// pause returns when the request may be sent if all servers that could take it have asked for a
+// pause or name a rate limit. queued is set if the request waits already.
+func (x *execution) pause(queued bool) roster.Pause {
+	return x.Roster.Pause(x.wantFor(x.requestedModel()), queued)
 }
 
 // refuseNoSlot returns the refusal of a request that could not take a slot.
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -147,7 +147,7 @@
 	if !h.BelongsTo(id) || h.Misdirected {
 		return roster.ServerStatus{}
 	}
-	return roster.ServerStatus{Accepted: !h.NotRun, Leaving: h.Leaving, RetryAfter: h.RetryAfter, RateLimit: h.RateLimit}
+	return roster.ServerStatus{Accepted: !h.NotRun, Leaving: h.Leaving, RetryAfter: h.RetryAfter, RateLimit: h.RateLimit, Served: h.Authentic && h.OK() && !h.NotRun}
 }
 
 // resultByVerdict maps each verdict to the result that is reported to the roster.
