Keep the retries of a large fleet within the fleet's budget

What servers would see: while every server of a service fails, 64 instances with one request each send 128 retries, where ratio x 64 + slack = 118 are allowed, and more with each further instance (TestRetriesOfLargeFleet, red before, green after).

An instance may make at least two retries in a window without requests, so that the least parts add up to twice the number of instances: 800 at 400 instances, beside a slack of some 60.

Where the fleet's reserve has less than one retry for each instance, rendezvous hashing gives one each to as many instances as it has retries. The other instances retry for the share of their own requests, that is from the second request in a window on.

--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -17,6 +17,7 @@
 	"example.com/dotterelwell/internal/link/connector"
 	"example.com/dotterelwell/internal/link/dialer"
 	"example.com/dotterelwell/internal/link/gossiper"
+	"example.com/dotterelwell/internal/link/hasher"
 	"example.com/dotterelwell/internal/link/sweeper"
 	"example.com/dotterelwell/internal/link/transporter"
 	"example.com/dotterelwell/internal/machine/clock"
@@ -55,9 +56,6 @@
 	// rest covers the unevenness of their traffic.
 	retryPart = 0.85
 	slackPart = 0.5
-	// leastReserve is the least number of retries in a window without requests: an instance
-	// of a very large fleet could not repeat a single request otherwise.
-	leastReserve = 2
 	// idlePart is the part of the connections that a server accepts which all instances
 	// together may keep idle; the rest is for requests.
 	idlePart = 0.5
@@ -71,6 +69,8 @@
 	maxStoreHeader = 64 << 10
 )
 
+var reserveHash = hasher.Hasher{Salt: "retry"}
+
 // Host is one instance.
 type Host struct {
 	Profile     profile.Profile
@@ -238,13 +238,27 @@
 		held = &retrier.Budget{
 			Clock: h.Clock, Window: b.RetryWindow,
 			Share:       b.RetryRatio * retryPart,
-			ReserveFunc: func() float64 { return max(h.ownPart(b.RetrySlack*slackPart), leastReserve) },
+			ReserveFunc: func() float64 { return h.ownReserve(service, b.RetrySlack*slackPart) },
 		}
 		h.budgets[service] = held
 	}
 	return held
 }
 
+// ownReserve returns this instance's part of the retries that all instances together may make
+// in a window without requests to a service. If there is less than one for each instance, some
+// instances get one, and the others retry only for the share of their own requests.
+func (h *Host) ownReserve(service declaration.ServiceName, all float64) float64 {
+	own := h.ownPart(all)
+	switch {
+	case own >= 1:
+		return own
+	case reserveHash.InTop(string(service), string(h.Profile.Instance), h.Enlister.Names(), int(all)):
+		return 1
+	}
+	return 0
+}
+
 // maxIdle returns how many idle connections this instance may keep to each server of a
 // service, so that those of all instances leave room for requests: a server resets
 // connections that are too many. It is 0 where the service has no limit, and -1 for none.
