Keep the counts of the retry budgets across a reload of the settings

What servers would see: an instance that gets SIGHUP after every 20 requests, all of which fail, sends 240 retries of 120 requests in a window, where ratio x 120 + slack = 168 are allowed (TestRetriesAcrossReloads, red before, green after).

The budgets now take over a new share and reserve, and start anew only where the window itself changes.

--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -234,11 +234,10 @@
 	defer h.mu.Unlock()
 	held := h.budgets[service]
 	if held == nil {
-		b := h.bounds
 		held = &retrier.Budget{
-			Clock: h.Clock, Window: b.RetryWindow,
-			Share:       b.RetryRatio * retryPart,
-			ReserveFunc: func() float64 { return h.ownReserve(service, b.RetrySlack*slackPart) },
+			Clock: h.Clock, Window: h.bounds.RetryWindow,
+			Share:       h.bounds.RetryRatio * retryPart,
+			ReserveFunc: func() float64 { return h.ownReserve(service, h.currentBounds().RetrySlack*slackPart) },
 		}
 		h.budgets[service] = held
 	}
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/oklog/run"
@@ -208,10 +210,18 @@
 	}
 }
 
+// setBounds takes over bounds. The budgets keep what they have counted, unless their window
+// changes.
 func (h *Host) setBounds(b profile.Bounds) {
 	h.mu.Lock()
+	if b.RetryWindow != h.bounds.RetryWindow {
+		clear(h.budgets)
+	}
 	h.bounds = b
-	clear(h.budgets) // they are made anew
+	held := slices.Collect(maps.Values(h.budgets))
 	h.mu.Unlock()
+	for _, budget := range held { // without the lock, which a budget takes for its reserve
+		budget.SetShare(b.RetryRatio * retryPart)
+	}
 	h.Stager.SetBounds(b.ExposureShare, b.SessionGap)
 }
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -41,6 +41,13 @@
 // bucket holds the counts of one part of a window.
 type bucket struct{ requests, retries int }
 
+// SetShare replaces Share.
+func (r *Budget) SetShare(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Share = share
+}
+
 // CountRequest counts a request.
 func (r *Budget) CountRequest() {
 	r.mu.Lock()
