New instances take no part of a fleet's limit before the others count them

What servers would see: four instances whose entries the store refuses to write beside four that are listed send a cold server 16 requests in one second, where 12 are allowed (TestColdServerWithNewInstances, red before, green after). For a moment the same holds at each start of a new instance.

An instance now takes a part of a cold server's rate, and permits of a rate limit, only while the list has its entry, and a new one from 2 s after that on, in which the others learn of it. An instance that restarts finds its entry in the list and is counted at once.

--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -93,7 +93,7 @@
 	h.Roster = &roster.Roster{
 		Clock: h.Clock, Instance: h.Profile.Instance, Zone: h.Profile.Zone,
 		ViewFunc: h.Curator.View, DecodeFunc: platform.DecodeServer, OutageEndedAtFunc: servers.OutageEndedAt,
-		InstancesFunc: h.Enlister.Names, ColdRateFunc: h.coldRate,
+		InstancesFunc: h.Enlister.Names, CountedFunc: h.Enlister.Counted, ColdRateFunc: h.coldRate,
 		OnLimitedSend: func(service declaration.ServiceName) { h.Meter.LimitedSends.WithLabelValues(string(service)).Inc() },
 		OnFreed:       func() { h.Runner.WakeWaiters() },
 	}
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -199,6 +199,9 @@
 // coldQuota returns this instance's share of the request rate allowed at a cold server. Shares
 // follow from the set of instances alone, so that the limit holds without coordination.
 func (r *Roster) coldQuota(id ident.Server, rate float64) int {
+	if !r.counted() {
+		return 0
+	}
 	instances := r.InstancesFunc()
 	n := max(len(instances), 1)
 	if quota := int(rate) / n; quota > 0 {
--- a/internal/machine/roster/limit.go
+++ b/internal/machine/roster/limit.go
@@ -67,13 +67,20 @@
 		"before", before.PerSecond, "source", source, "limited-ms", now-w.limitedSince, "sent-meanwhile", w.sentWhileLimited)
 }
 
+// counted reports whether this instance has a part in the limits of servers.
+func (r *Roster) counted() bool { return r.CountedFunc == nil || r.CountedFunc() }
+
 // fleet returns what this instance knows of the instances that share the servers' limits. The
 // lock must be held.
 func (r *Roster) fleet() rationer.Fleet {
-	if r.reachable.Names == nil {
-		return rationer.Fleet{Self: string(r.Instance), Names: r.InstancesFunc(), Reachable: 1}
+	fleet := r.reachable
+	if fleet.Names == nil {
+		fleet = rationer.Fleet{Names: r.InstancesFunc(), Reachable: 1}
+	}
+	if r.counted() {
+		fleet.Self = string(r.Instance)
 	}
-	return r.reachable
+	return fleet
 }
 
 // SetReachable sets the names of the instances that share the servers' limits as far as this
@@ -84,7 +91,7 @@
 	if slices.Equal(names, r.reachable.Names) {
 		names = r.reachable.Names
 	}
-	r.reachable = rationer.Fleet{Self: string(r.Instance), Names: names, Reachable: share}
+	r.reachable = rationer.Fleet{Names: names, Reachable: share}
 }
 
 // useLimit uses one request of a limited server's limit. The lock must be held.
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -73,6 +73,9 @@
 	DecodeFunc func(o storer.Object) (backend.Server, error)
 	// InstancesFunc returns all instances that may send requests to servers, including this one.
 	InstancesFunc func() []string
+	// CountedFunc reports whether the other instances count this one among those that share the
+	// limits of servers. Nil means that they do.
+	CountedFunc func() bool
 	// ColdRateFunc returns how many requests per second all instances together may send to
 	// a cold server of the service; zero if the service's servers are never cold.
 	ColdRateFunc func(service declaration.ServiceName) float64
--- a/internal/zone/enlister/enlister.go
+++ b/internal/zone/enlister/enlister.go
@@ -65,6 +65,9 @@
 	// the list again: the instances of a fleet start within 0.3 s of one another, and an
 	// instance that saw only part of the list would watch the store on behalf of the rest.
 	settleDelay clock.Millis = 600
+	// countedDelay is how long after an instance has found its new entry in the list the others
+	// take to learn of it, also if the watch of one of them has fallen silent.
+	countedDelay = 2 * clock.Second
 	// syncPollInterval is how often Run checks whether the informer has read the list for the
 	// first time.
 	syncPollInterval clock.Millis = 20
@@ -81,6 +84,11 @@
 
 	members atomic.Pointer[memberList]
 	synced  atomic.Bool
+	// isNew is set when this process has written its entry because the list lacked it.
+	// countedFrom is when the others count this instance, in milliseconds; zero while the list
+	// lacks its entry.
+	isNew       atomic.Bool
+	countedFrom atomic.Int64
 }
 
 // Run keeps this instance's entry in the store until ctx is done.
@@ -127,6 +135,9 @@
 		klog.ErrorS(err, "Failed to encode the entry of this instance")
 		return false
 	}
+	if !found {
+		e.isNew.Store(true)
+	}
 	pre := storer.Precondition{Absent: !found, Match: held.Version}
 	version, err := e.Store.Put(ctx, ObjectKind, string(e.Instance), value, pre)
 	if err != nil {
@@ -166,6 +177,7 @@
 // copy has changed.
 func (e *Enlister) Refresh() {
 	m := &memberList{names: []string{string(e.Instance)}}
+	listed := false
 	for _, o := range e.Informer.Objects() {
 		var entry Entry
 		if err := json.Unmarshal(o.Value, &entry); err != nil {
@@ -174,6 +186,7 @@
 		}
 		if ident.Instance(o.Name) == e.Instance {
 			e.synced.Store(true) // this instance was registered before, so it need not wait for others
+			listed = true
 			continue
 		}
 		m.peers = append(m.peers, gossiper.Peer{Instance: ident.Instance(o.Name), Address: entry.Address, Zone: entry.Zone, Strength: entry.Strength})
@@ -182,6 +195,27 @@
 	slices.Sort(m.names)
 	slices.SortFunc(m.peers, func(a, b gossiper.Peer) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
 	e.members.Store(m)
+	e.recordListed(listed)
+}
+
+// recordListed updates from when the others count this instance.
+func (e *Enlister) recordListed(listed bool) {
+	switch {
+	case !listed:
+		e.countedFrom.Store(0)
+	case e.countedFrom.Load() > 0:
+	case e.isNew.Load():
+		e.countedFrom.Store(int64(e.Clock.Now() + countedDelay))
+	default:
+		e.countedFrom.Store(int64(e.Clock.Now()))
+	}
+}
+
+// Counted reports whether the other instances count this one where they divide what all
+// instances together may use. Until then this instance must not use a part of it.
+func (e *Enlister) Counted() bool {
+	from := clock.Millis(e.countedFrom.Load())
+	return from > 0 && e.Clock.Now() >= from
 }
 
 // Synced reports whether the list has been read and, for a new instance, read again after
--- a/internal/zone/rationer/rationer.go
+++ b/internal/zone/rationer/rationer.go
@@ -43,6 +43,7 @@
 
 // Fleet is what an instance knows of the instances that share a limit.
 type Fleet struct {
+	// Self is the name of this instance; empty if it may hold no permit.
 	Self string
 	// Names lists all instances, this one included. All callers that have the same list pass
 	// the same slice.
@@ -102,7 +103,8 @@
 	credit   float64
 	creditAt clock.Millis
 	held     bool
-	// firstName, size and turn are the list and the turn for which held was computed.
+	// self, firstName, size and turn are the fleet and the turn for which held was computed.
+	self      string
 	firstName *string
 	size      int
 	turn      uint64
@@ -199,12 +201,12 @@
 func (r *Rationer) refresh(i int, fleet Fleet, now clock.Millis) *permit {
 	p := &r.permits[i]
 	turn := p.Turn + uint64(max(now-p.heardAt, 0)/r.silence())
-	if p.firstName != &fleet.Names[0] || p.size != len(fleet.Names) || p.turn != turn {
+	if p.self != fleet.Self || p.firstName != &fleet.Names[0] || p.size != len(fleet.Names) || p.turn != turn {
 		held := permitHash.Best(r.item(i, turn), fleet.Names) == fleet.Self
 		if held && (!p.held || p.turn != turn) {
 			p.credit, p.creditAt = 1, now
 		}
-		p.held, p.firstName, p.size, p.turn = held, &fleet.Names[0], len(fleet.Names), turn
+		p.held, p.self, p.firstName, p.size, p.turn = held, fleet.Self, &fleet.Names[0], len(fleet.Names), turn
 	}
 	p.credit = min(p.credit+r.permitRate()*fleet.part()*float64(now-p.creditAt)/float64(clock.Second), 1)
 	p.creditAt = now
