--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -334,14 +334,21 @@
 			return nil, refusal
 		}
 		left := waitUntil - x.Clock.Now()
-		paused := roster.KindOf(err) == roster.KindPaused
-		if left <= 0 || paused && x.pause(endWait != nil).Wait > left {
-			return nil, x.refuseNoSlot(err)
+		poll := min(left, slotPollInterval)
+		if roster.KindOf(err) == roster.KindPaused {
+			pause := x.pause(endWait != nil)
+			if pause.Wait > left {
+				return nil, x.refuseNoSlot(err)
+			}
+			poll = min(poll, max(pause.Wait, 1))
+			if endWait == nil {
+				endWait = x.Roster.StartWait(x.service)
+			}
 		}
-		if paused && endWait == nil {
-			endWait = x.Roster.StartWait(x.service)
+		if left <= 0 {
+			return nil, x.refuseNoSlot(err)
 		}
-		timer := time.NewTimer(min(left, slotPollInterval).Duration())
+		timer := time.NewTimer(poll.Duration())
 		select {
 		case <-freed:
 		case <-timer.C:
