--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -51,9 +51,9 @@
 	// OnTargetRelease is set when the server runs the target release of the current roll-out.
 	OnTargetRelease bool
 
-	acquiredAt clock.Millis
 	roster     *Roster
 	row        *row
+	acquiredAt clock.Millis
 	work       float64
 	prefilled  bool
 	released   bool
@@ -96,7 +96,8 @@
 	trial := chosen.pausedUntil > 0
 	chosen.trial = chosen.trial || trial
 	order, ordered := view.Rollouts[want.Service]
-	return &Slot{acquiredAt: now, Server: chosen.info, OnTargetRelease: ordered && order.Target == chosen.info.Release, roster: r, row: chosen, work: work, trial: trial}, nil
+	onTarget := ordered && order.Target == chosen.info.Release
+	return &Slot{Server: chosen.info, OnTargetRelease: onTarget, roster: r, row: chosen, acquiredAt: now, work: work, trial: trial}, nil
 }
 
 // Estimate returns, in milliseconds, how long a request would wait at the server that would be
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -314,12 +314,8 @@
 // acquire takes a slot at a server. If none is free, it waits for up to slotTimeout.
 func (x *execution) acquire() (*roster.Slot, *message.Refusal) {
 	waitUntil := x.Clock.Now() + x.slotTimeout()
-	var endWait func()
-	defer func() {
-		if endWait != nil {
-			endWait()
-		}
-	}()
+	queued, endWait := false, func() {}
+	defer func() { endWait() }()
 	for {
 		freed := x.slotFreed.wait()
 		slot, err := x.Roster.Acquire(x.wantFor(x.requestedModel()))
@@ -336,13 +332,13 @@
 		left := waitUntil - x.Clock.Now()
 		poll := min(left, slotPollInterval)
 		if roster.KindOf(err) == roster.KindPaused {
-			pause := x.pause(endWait != nil)
+			pause := x.pause(queued)
 			if pause.Wait > left {
 				return nil, x.refuseNoSlot(err)
 			}
 			poll = min(poll, max(pause.Wait, 1))
-			if endWait == nil {
-				endWait = x.Roster.StartWait(x.service)
+			if !queued {
+				queued, endWait = true, x.Roster.StartWait(x.service)
 			}
 		}
 		if left <= 0 {
