Log the shared parts of a request's prompt

The logs could not tell whether the requests at crashing servers have a part in common or are one bad request that is retried. A request's line now has the parts of its prompt that other requests may share, eight at most.

--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -60,6 +60,19 @@
 	return r.Prompt[len(r.Prompt)-2].ID
 }
 
+// SharedParts returns the IDs of all prompt parts but the last, which other requests may
+// share.
+func (r *Request) SharedParts() []string {
+	if len(r.Prompt) < 2 {
+		return nil
+	}
+	ids := make([]string, len(r.Prompt)-1)
+	for i := range ids {
+		ids[i] = r.Prompt[i].ID
+	}
+	return ids
+}
+
 // SharedTokens returns the number of tokens in all prompt parts but the last, which
 // other requests may share.
 func (r *Request) SharedTokens() int {
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -434,6 +434,15 @@
 	return x.sends < x.route.MaxAttempts && x.ctx.Err() == nil && x.RetryBudgetFunc(x.service).TryRetry()
 }
 
+// maxLoggedParts bounds the prompt parts in the log line of a request.
+const maxLoggedParts = 8
+
+// loggedParts returns the first shared parts of the prompt.
+func (x *execution) loggedParts() []string {
+	parts := x.req.SharedParts()
+	return parts[:min(len(parts), maxLoggedParts)]
+}
+
 // reportEnd logs the end of the request and calls OnRequestEnd.
 func (x *execution) reportEnd(refusal *message.Refusal) {
 	end := RequestOutcome{Took: x.Clock.Now() - x.req.ArrivedAt}
@@ -453,7 +462,7 @@
 		end.Refusal = refusal.Kind
 		outcome, cause = string(refusal.Kind), refusal.Err
 	}
-	klog.InfoS("Request ended", "request", x.req.ID, "outcome", outcome, "cause", cause, "route", end.Route, "workspace", end.Workspace, "config", version, "took-ms", end.Took, "attempts", x.log.String(), "tokens", [3]int{x.req.PromptTokens, x.req.AnswerTokens, x.req.AnswerHint}, "events", x.eventsForwarded, "session", x.req.Session)
+	klog.InfoS("Request ended", "request", x.req.ID, "outcome", outcome, "cause", cause, "route", end.Route, "workspace", end.Workspace, "config", version, "took-ms", end.Took, "attempts", x.log.String(), "tokens", [3]int{x.req.PromptTokens, x.req.AnswerTokens, x.req.AnswerHint}, "prompt", x.loggedParts(), "events", x.eventsForwarded, "session", x.req.Session)
 	if x.OnRequestEnd != nil {
 		x.OnRequestEnd(end)
 	}
