Keep prompt parts that crash servers away from servers

Cause: each request was judged alone. It was sent to up to three servers, and nothing related a crash to the prompts that the server had been working on, so that the next request with the part started again at the next server, at any instance.

Now an instance that loses a connection to a server asks the server's port whether it is down, and reports which prompts it held, without those whose answers were well under way. Two instances collect the reports of all, ask all for crashes that they have not noticed and for parts with which answers went well, and find a part guilty that three crashes at different moments have in common and no sound answer since. Requests with it are then refused at once by all instances, as not run. The quarantine is exchanged with the other messages and kept in the store. Two probes, each counted in the store first, let a wrong one end.

Why this works: sound parts, keys and routes that the bad requests share get past their beginning somewhere and are cleared by that; crashes of many servers at one moment count once; and a crash that a guilty part explains counts against no other part.

--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -167,6 +167,8 @@
 	KindStopping Kind = "stopping"
 	// KindNoServer means that no backend server is available for the request.
 	KindNoServer Kind = "no-server"
+	// KindQuarantined means that the prompt has a part under which servers crash.
+	KindQuarantined Kind = "quarantined"
 	// KindOverloaded means that all available backend servers are at capacity.
 	KindOverloaded Kind = "overloaded"
 	// KindFailed means that no server returned a complete answer; the request may have run.
--- a/internal/link/gossiper/choice.go
+++ b/internal/link/gossiper/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 
@@ -12,7 +13,7 @@
 )
 
 // roundPeers returns the peers to call in a round: one store watcher of the neighbours, the
-// evidence collectors of each roll-out in the message, and random peers. In a large fleet, a
+// collectors of the evidence in the message, and random peers. In a large fleet, a
 // store watcher also calls one watcher of each other zone.
 func (g *Gossiper) roundPeers(round int, message Message) []Peer {
 	peers := g.PeersFunc()
@@ -26,6 +27,11 @@
 			chosen[p.Instance] = p
 		}
 	}
+	if len(message.Crashes) > 0 {
+		for _, p := range g.collectors(crashDuty) {
+			chosen[p.Instance] = p
+		}
+	}
 	random := randomPeersSmall
 	if g.InLargeFleet() {
 		random = randomPeersLarge
@@ -91,9 +97,9 @@
 }
 
 // collectors returns the instances that receive every instance's evidence about a service's
-// roll-out.
-func (g *Gossiper) collectors(service declaration.ServiceName) []Peer {
-	return g.selectHolders(g.WatchedKind, string(service), g.PeersFunc(), evidenceCollectorCount)
+// roll-out, or that about crashed servers.
+func (g *Gossiper) collectors(item declaration.ServiceName) []Peer {
+	return g.selectHolders(g.WatchedKind, string(item), g.PeersFunc(), evidenceCollectorCount)
 }
 
 // CollectsEvidence reports whether this instance receives every instance's evidence about a
@@ -102,10 +108,22 @@
 	return g.includesSelf(g.collectors(service))
 }
 
+// CollectsCrashes reports whether this instance receives every instance's reports of crashed
+// servers.
+func (g *Gossiper) CollectsCrashes() bool { return g.includesSelf(g.collectors(crashDuty)) }
+
+// SendToCrashCollectors starts an exchange of messages with the instances that collect the reports
+// of crashed servers, without waiting for the next round or for the replies.
+func (g *Gossiper) SendToCrashCollectors(ctx context.Context) {
+	g.spreadTo(ctx, slices.DeleteFunc(g.collectors(crashDuty), func(p Peer) bool { return p.Instance == g.Instance }))
+}
+
 const (
+	// crashDuty is the item whose holders collect the reports of crashed servers.
+	crashDuty = "crashes"
 	// watchDuty is the item whose holders watch the store.
 	watchDuty = "watch"
-	// evidenceCollectorCount is the number of instances that collect the evidence about a roll-out.
+	// evidenceCollectorCount is the number of instances that collect the evidence about one item.
 	evidenceCollectorCount = 2
 )
 
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -3,6 +3,7 @@
 import (
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/backend"
+	"example.com/dotterelwell/internal/contract/crash"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/link/packer"
 	"example.com/dotterelwell/internal/machine/clock"
@@ -12,6 +13,7 @@
 	"example.com/dotterelwell/internal/version/tallier"
 	"example.com/dotterelwell/internal/zone/accountant"
 	"example.com/dotterelwell/internal/zone/informer"
+	"example.com/dotterelwell/internal/zone/quarantiner"
 )
 
 // Peer is another instance.
@@ -51,6 +53,15 @@
 	Departing []backend.Incarnation
 	// Limits holds what the sender knows of the rate limits that servers name.
 	Limits []roster.LimitReport
+	// Crashes holds the crashes of servers that the sender has noticed lately.
+	Crashes []crash.Report
+	// Inquiry asks the recipient about crashes of servers. Only instances that collect the reports
+	// of all instances set it.
+	Inquiry crash.Inquiry
+	// Cleared answers the last inquiry.
+	Cleared []crash.Clearing
+	// Quarantine holds the prompt parts under which servers crash.
+	Quarantine []quarantiner.Entry
 	// Tallies holds the sender's evidence that the recipient collects.
 	Tallies []tallier.Entry
 }
--- /dev/null
+++ b/internal/machine/host/crashes.go
@@ -0,0 +1,73 @@
+package host
+
+import (
+	"context"
+
+	"example.com/dotterelwell/internal/contract/crash"
+	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/link/gossiper"
+	"example.com/dotterelwell/internal/request/observer"
+	"example.com/dotterelwell/internal/zone/attributor"
+	"example.com/dotterelwell/internal/zone/quarantiner"
+)
+
+// quarantineDuty is the item whose holder writes the quarantine of prompt parts to the store.
+const quarantineDuty = "quarantine"
+
+func (h *Host) wireCrashes() {
+	h.Quarantiner = &quarantiner.Quarantiner{
+		Clock: h.Clock, Store: h.Store,
+		Informer:     h.inform(quarantiner.ObjectKind, patientWait, func(objects []storer.Object) { h.Quarantiner.Apply(objects) }),
+		OnQuarantine: func(part crash.Part) { h.Observer.CancelWaiting(part) },
+	}
+	h.Meter.Gauge("quarantined_parts", "Prompt parts in quarantine, because servers crash under them.", func() float64 { return float64(h.Quarantiner.Count()) })
+	h.Attributor = &attributor.Attributor{Clock: h.Clock, QuarantinedFunc: h.Quarantiner.Quarantined}
+	h.Observer = &observer.Observer{
+		Clock: h.Clock, DialFunc: h.outside.DialFunc, OnClear: h.Quarantiner.Clear,
+		OnCrash: func() {
+			h.Attributor.Merge(h.Profile.Instance, h.Observer.Reports())
+			h.Gossiper.SendToCrashCollectors(context.Background())
+		},
+	}
+}
+
+// inquiry returns the inquiry that messages carry now.
+func (h *Host) inquiry() crash.Inquiry {
+	if asking := h.asking.Load(); asking != nil {
+		return *asking
+	}
+	return crash.Inquiry{}
+}
+
+// mergeCrashes takes in what a peer says of crashed servers.
+func (h *Host) mergeCrashes(n gossiper.Message) {
+	h.Quarantiner.Merge(n.Quarantine)
+	h.Attributor.Merge(n.From, n.Crashes)
+	h.Attributor.MergeCleared(n.Cleared)
+	h.Observer.Inquire(n.Inquiry)
+}
+
+// attributeCrashes asks all instances about crashes, and puts the prompt parts in quarantine that
+// cause them, if this instance collects the reports.
+func (h *Host) attributeCrashes(ctx context.Context) {
+	h.Observer.Settle()
+	h.Quarantiner.Tick(ctx, h.Gossiper.HoldsDuty(quarantineDuty))
+	if !h.Gossiper.CollectsCrashes() {
+		h.asking.Store(nil)
+		return
+	}
+	guilty := h.Attributor.Guilty()
+	for _, part := range guilty {
+		h.Quarantiner.Quarantine(part)
+	}
+	inquiry, due := h.Attributor.Inquiry()
+	h.asking.Store(&inquiry)
+	if due {
+		h.Observer.Inquire(inquiry)
+		h.Attributor.Merge(h.Profile.Instance, h.Observer.Reports())
+		h.Attributor.MergeCleared(h.Observer.Cleared())
+	}
+	if due || len(guilty) > 0 {
+		h.Gossiper.SendToAll(ctx)
+	}
+}
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/crash"
 	"example.com/dotterelwell/internal/contract/routing"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/link/connector"
@@ -28,15 +29,18 @@
 	"example.com/dotterelwell/internal/machine/roster"
 	"example.com/dotterelwell/internal/request/bufferer"
 	"example.com/dotterelwell/internal/request/cascader"
+	"example.com/dotterelwell/internal/request/observer"
 	"example.com/dotterelwell/internal/request/predictor"
 	"example.com/dotterelwell/internal/request/retrier"
 	"example.com/dotterelwell/internal/request/runner"
 	"example.com/dotterelwell/internal/version/stager"
 	"example.com/dotterelwell/internal/version/tallier"
 	"example.com/dotterelwell/internal/zone/accountant"
+	"example.com/dotterelwell/internal/zone/attributor"
 	"example.com/dotterelwell/internal/zone/curator"
 	"example.com/dotterelwell/internal/zone/enlister"
 	"example.com/dotterelwell/internal/zone/informer"
+	"example.com/dotterelwell/internal/zone/quarantiner"
 	"example.com/dotterelwell/platform"
 )
 
@@ -85,6 +89,9 @@
 	Connector   *connector.Connector
 	Transporter *transporter.Transporter
 	Runner      *runner.Runner
+	Observer    *observer.Observer
+	Attributor  *attributor.Attributor
+	Quarantiner *quarantiner.Quarantiner
 	Sweeper     *sweeper.Sweeper
 
 	outside    Outside
@@ -97,6 +104,8 @@
 	// cuts what still runs, in milliseconds; zero until it is told to stop.
 	stopFrom, stopAt atomic.Int64
 	inFlight         atomic.Int64
+	// asking holds the inquiry about crashes that messages carry while this instance collects them.
+	asking atomic.Pointer[crash.Inquiry]
 	// removedAt is when instances that are gone were last looked for; read by housekeep alone.
 	removedAt clock.Millis
 	// rolloutPause is until when roll-outs are left alone, in milliseconds.
@@ -133,6 +142,7 @@
 	h.Store = platform.NewStorer(p.StoreAddress, client, storeTimeout)
 	h.tallier = &tallier.Tallier{Clock: h.Clock, Owner: ident.NewIncarnation(p.Instance, h.Clock.Now())}
 	h.wireZone()
+	h.wireCrashes()
 	h.wireLinks()
 	h.wireRequests()
 	return h, func() {
@@ -185,7 +195,10 @@
 		s.OldInFlight = h.Roster.InFlightOnOtherReleases(service, s.Target)
 		stages[service] = s
 	}
-	return gossiper.Message{Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing(), Limits: h.Roster.LimitReports()}
+	return gossiper.Message{
+		Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing(), Limits: h.Roster.LimitReports(),
+		Crashes: h.Observer.Reports(), Inquiry: h.inquiry(), Cleared: h.Observer.Cleared(), Quarantine: h.Quarantiner.Entries(),
+	}
 }
 
 func (h *Host) merge(n gossiper.Message) {
@@ -200,6 +213,7 @@
 	h.Roster.MergeDeparting(n.Departing)
 	h.Roster.MergeLimits(n.Limits)
 	h.Stager.Merge(n.Stages)
+	h.mergeCrashes(n)
 }
 
 func (h *Host) wireRequests() {
@@ -209,7 +223,7 @@
 	h.Sweeper = &sweeper.Sweeper{Clock: h.Clock, LimitFunc: func() clock.Millis { return h.limits().IdleTimeout }}
 	h.Runner = &runner.Runner{
 		Clock: h.Clock, ViewFunc: h.Curator.View, Roster: h.Roster, Transporter: h.Transporter,
-		Cascader: &cascader.Cascader{}, Predictor: &predictor.Predictor{}, Bufferer: h.bufferer, EncodeFunc: platform.EncodeAttempt, DecodeFunc: platform.DecodeHead,
+		Cascader: &cascader.Cascader{}, Predictor: &predictor.Predictor{}, Bufferer: h.bufferer, Observer: h.Observer, Quarantiner: h.Quarantiner, EncodeFunc: platform.EncodeAttempt, DecodeFunc: platform.DecodeHead,
 		ConfigCurrentFunc: routes.Current, StateLoadedFunc: h.informed, StopsBeforeFunc: h.stopsBefore,
 		SideFunc: h.Stager.Side, RetryBudgetFunc: h.budget, MaxIdleConnsFunc: h.maxIdle, OnAttemptEnd: h.noteAnswer, OnRequestEnd: h.noteEnd,
 		OnOverrun:      func(bound string) { h.Meter.Overruns.WithLabelValues(bound).Inc() },
@@ -335,7 +349,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	err := json.NewEncoder(w).Encode(map[string]any{
 		"instance": h.Profile.Instance, "zone": h.Profile.Zone, "ready": h.ready(), "config": version,
-		"in-flight": h.inFlight.Load(), "peers": h.Enlister.Names(), "servers": h.Roster.Rows(),
+		"in-flight": h.inFlight.Load(), "peers": h.Enlister.Names(), "servers": h.Roster.Rows(), "quarantine": h.Quarantiner.Entries(),
 	})
 	if err != nil {
 		klog.ErrorS(err, "Status could not be written")
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -171,6 +171,7 @@
 		h.Sweeper.Sweep()
 		h.Stager.Tick()
 		h.recordRollouts(ctx)
+		h.attributeCrashes(ctx)
 		h.removeGone(ctx)
 	}
 }
--- /dev/null
+++ b/internal/request/observer/observer.go
@@ -0,0 +1,451 @@
+// Package observer watches the attempts at backend servers for crashes: which prompts a server was
+// working on when it crashed, and with which prompt parts answers got past their beginning.
+package observer
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"example.com/dotterelwell/internal/contract/backend"
+	"example.com/dotterelwell/internal/contract/crash"
+	"example.com/dotterelwell/internal/machine/clock"
+)
+
+const (
+	// settleTime and settleEvents are how long ago an answer must have begun, and how many events
+	// of it must have arrived unless it is complete, until its prompt is clear.
+	settleTime   clock.Millis = 500
+	settleEvents              = 3
+	// endedWindow is how long before a crash an attempt may have ended and still be a victim:
+	// an answer that the router has dropped may go on at the server.
+	endedWindow = 1 * clock.Second
+	// attemptRetention is how long ended attempts are kept for crashes that other instances
+	// report, and reportRetention how long crashes are reported.
+	attemptRetention = 10 * clock.Second
+	reportRetention  = 10 * clock.Second
+	// clearRetention is how long clear parts are remembered.
+	clearRetention = 10 * clock.Minute
+	// sameCrashWindow is the span in which broken connections to one incarnation of a server
+	// belong to one crash.
+	sameCrashWindow = 2 * clock.Second
+	// inquiryRetention is how long clear parts are reported after an inquiry.
+	inquiryRetention = 2 * clock.Second
+	// confirmTimeout bounds the connection that confirms a crash.
+	confirmTimeout clock.Millis = 500
+
+	// Bounds of the memory that callers can make an instance use.
+	maxEndedAttempts = 512
+	maxAttemptParts  = 256
+	maxReportParts   = 2048
+	maxClear         = 8192
+	maxReports       = 32
+)
+
+// Observer watches attempts. Set the exported fields before use.
+type Observer struct {
+	Clock *clock.Clock
+	// DialFunc opens the connection that confirms a crash: it is refused while the server is down.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnCrash, when set, is called after a crash that this instance has noticed.
+	OnCrash func()
+	// OnClear, when set, is called with the prompt parts of an answer that got past its beginning.
+	OnClear func(parts []crash.Part, begunAt clock.Millis)
+
+	mu       sync.Mutex
+	inFlight map[backend.Incarnation]map[*Attempt]bool
+	ended    []*Attempt
+	// crashes holds when incarnations of servers crashed, as far as this instance knows. breaks
+	// holds when a connection to a server last ended without a known crash.
+	crashes, breaks map[backend.Incarnation]clock.Millis
+	reports         []report
+	clear           map[crash.Part]clock.Millis // when the last answer began that got past its beginning
+	asked           []crash.Part
+	askedAt         clock.Millis
+}
+
+// report is a crash.Report with its time by this instance's clock.
+type report struct {
+	crash.Report
+	at clock.Millis
+}
+
+// Attempt is one attempt at a server. Its methods do nothing on a nil Attempt.
+type Attempt struct {
+	observer *Observer
+	server   backend.Incarnation
+	parts    []crash.Part
+	cancel   func()
+	sentAt   clock.Millis
+	begunAt  clock.Millis // zero until the answer has begun
+	endedAt  clock.Millis // zero while in flight
+	events   int
+	complete bool
+	settled  bool
+}
+
+// Start records an attempt. It returns nil for a prompt without parts that others may share. cancel
+// gives the attempt up.
+func (o *Observer) Start(server backend.Incarnation, parts []crash.Part, cancel func()) *Attempt {
+	if o == nil || len(parts) == 0 {
+		return nil
+	}
+	a := &Attempt{observer: o, server: server, parts: bounded(parts), cancel: cancel, sentAt: o.Clock.Now()}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.inFlight == nil {
+		o.inFlight = map[backend.Incarnation]map[*Attempt]bool{}
+		o.crashes, o.breaks = map[backend.Incarnation]clock.Millis{}, map[backend.Incarnation]clock.Millis{}
+		o.clear = map[crash.Part]clock.Millis{}
+	}
+	if o.inFlight[server] == nil {
+		o.inFlight[server] = map[*Attempt]bool{}
+	}
+	o.inFlight[server][a] = true
+	return a
+}
+
+// bounded returns the first and the last parts of a prompt that has very many.
+func bounded(parts []crash.Part) []crash.Part {
+	if len(parts) <= maxAttemptParts {
+		return parts
+	}
+	half := maxAttemptParts / 2
+	return append(append([]crash.Part{}, parts[:half]...), parts[len(parts)-half:]...)
+}
+
+// Begin records that the answer has begun.
+func (a *Attempt) Begin() {
+	if a == nil {
+		return
+	}
+	a.observer.mu.Lock()
+	defer a.observer.mu.Unlock()
+	a.begunAt = a.observer.Clock.Now()
+}
+
+// RecordEvent records an event of the answer.
+func (a *Attempt) RecordEvent() {
+	if a == nil {
+		return
+	}
+	a.observer.mu.Lock()
+	defer a.observer.mu.Unlock()
+	a.events++
+}
+
+// End is how an attempt ended.
+type End int
+
+// Ends.
+const (
+	// EndOther means that the attempt says nothing about the server: it was given up, or the
+	// server rejected it.
+	EndOther End = iota
+	// EndComplete means that the whole answer arrived.
+	EndComplete
+	// EndBroken means that the connection ended before the answer did.
+	EndBroken
+)
+
+// End records the end of the attempt. A broken connection is checked for a crash of the server.
+func (a *Attempt) End(end End) {
+	if a == nil {
+		return
+	}
+	o := a.observer
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Clock.Now()
+	a.endedAt, a.complete = now, end == EndComplete
+	held := o.inFlight[a.server]
+	delete(held, a)
+	if len(held) == 0 {
+		delete(o.inFlight, a.server)
+	}
+	if len(o.ended) >= maxEndedAttempts {
+		o.ended = o.ended[1:]
+	}
+	o.ended = append(o.ended, a)
+	if end != EndBroken || o.isCrashed(a.server, now) {
+		return
+	}
+	if at, found := o.breaks[a.server]; found && now-at < sameCrashWindow {
+		return // another attempt's connection ended at the same moment
+	}
+	o.breaks[a.server] = now
+	victims := o.victimsAt(a.server, now)
+	go o.confirm(a.server, now, victims)
+}
+
+// isCrashed reports whether a crash of the server is known that happened within sameCrashWindow.
+// The lock must be held.
+func (o *Observer) isCrashed(server backend.Incarnation, now clock.Millis) bool {
+	at, found := o.crashes[server]
+	return found && now-at < sameCrashWindow
+}
+
+// confirm reports a crash if the server refuses a new connection.
+func (o *Observer) confirm(server backend.Incarnation, at clock.Millis, victims []crash.Victim) {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout.Duration())
+	defer cancel()
+	c, err := o.DialFunc(ctx, "tcp", string(server.Address))
+	if err == nil {
+		_ = c.Close() // it has served its purpose
+		klog.InfoS("Connection to a server ended, and the server is up", "server", server.ID, "victims", len(victims))
+		return
+	}
+	if ctx.Err() != nil || isTimeout(err) {
+		klog.InfoS("Connection to a server ended, and the server is not reached", "server", server.ID, "victims", len(victims), "err", err)
+		return
+	}
+	o.mu.Lock()
+	o.crashes[server] = at
+	o.addReport(report{Report: crash.Report{Server: server, Victims: victims}, at: at})
+	o.mu.Unlock()
+	klog.InfoS("Server crashed", "server", server.ID, "born", server.Born, "ago-ms", o.Clock.Now()-at, "victims", len(victims), "starting", countStarting(victims), "err", err)
+	if o.OnCrash != nil {
+		o.OnCrash()
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func countStarting(victims []crash.Victim) int {
+	n := 0
+	for _, v := range victims {
+		if v.Progress == crash.Starting {
+			n++
+		}
+	}
+	return n
+}
+
+// addReport adds a report. The lock must be held.
+func (o *Observer) addReport(r report) {
+	if len(o.reports) >= maxReports {
+		o.reports = o.reports[1:]
+	}
+	o.reports = append(o.reports, r)
+}
+
+// victimsAt returns the attempts at a server that a crash at the given time may have been caused
+// by, those whose answers had begun first. The lock must be held.
+func (o *Observer) victimsAt(server backend.Incarnation, at clock.Millis) []crash.Victim {
+	var starting, waiting []crash.Victim
+	add := func(a *Attempt) {
+		v, possible := a.victimAt(at)
+		switch {
+		case !possible:
+		case v.Progress == crash.Starting:
+			starting = append(starting, v)
+		default:
+			waiting = append(waiting, v)
+		}
+	}
+	for a := range o.inFlight[server] {
+		add(a)
+	}
+	for _, a := range o.ended {
+		if a.server == server {
+			add(a)
+		}
+	}
+	victims, parts := append(starting, waiting...), 0
+	for n, v := range victims {
+		if parts += len(v.Parts); parts > maxReportParts {
+			return victims[:n]
+		}
+	}
+	return victims
+}
+
+// victimAt returns the attempt as the victim of a crash at the given time, and false if it can't
+// have caused the crash.
+func (a *Attempt) victimAt(at clock.Millis) (crash.Victim, bool) {
+	ended := a.endedAt > 0 && a.endedAt < at
+	v := crash.Victim{Parts: a.parts, Progress: crash.Waiting, SentBefore: at - a.sentAt}
+	switch {
+	case a.sentAt > at, ended && at-a.endedAt > endedWindow:
+		return v, false
+	case a.begunAt == 0 || a.begunAt > at:
+		return v, !ended
+	case at-a.begunAt >= settleTime && (a.complete || a.events >= settleEvents):
+		return v, false
+	}
+	v.Progress = crash.Starting
+	return v, true
+}
+
+// Reports returns the crashes of the last seconds, with what this instance lost by them.
+func (o *Observer) Reports() []crash.Report {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Clock.Now()
+	var reports []crash.Report
+	for _, r := range o.reports {
+		if now-r.at <= reportRetention {
+			r.Ago = now - r.at
+			reports = append(reports, r.Report)
+		}
+	}
+	return reports
+}
+
+// Inquire takes in another instance's inquiry. Reports and Cleared return the answer.
+func (o *Observer) Inquire(inquiry crash.Inquiry) {
+	if len(inquiry.Servers) == 0 && len(inquiry.Parts) == 0 {
+		return
+	}
+	o.Settle()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Clock.Now()
+	for _, ended := range inquiry.Servers {
+		at := now - ended.Ago
+		if known, found := o.crashes[ended.Server]; found && max(at-known, known-at) < sameCrashWindow {
+			continue
+		}
+		victims := o.victimsAt(ended.Server, at)
+		if o.crashes != nil {
+			o.crashes[ended.Server] = at
+		}
+		if len(victims) > 0 {
+			o.addReport(report{Report: crash.Report{Server: ended.Server, Victims: victims}, at: at})
+			klog.InfoS("Server crashed, by a peer", "server", ended.Server.ID, "ago-ms", ended.Ago, "victims", len(victims), "starting", countStarting(victims))
+		}
+	}
+	o.asked, o.askedAt = inquiry.Parts, now
+}
+
+// Cleared returns the parts of the last inquiry that are clear.
+func (o *Observer) Cleared() []crash.Clearing {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Clock.Now()
+	if now-o.askedAt > inquiryRetention {
+		return nil
+	}
+	var cleared []crash.Clearing
+	for _, part := range o.asked {
+		if at, found := o.clear[part]; found {
+			cleared = append(cleared, crash.Clearing{Part: part, BegunAgo: now - at})
+		}
+	}
+	return cleared
+}
+
+// CancelWaiting gives up the attempts with a prompt part whose answers have not begun.
+func (o *Observer) CancelWaiting(part crash.Part) {
+	o.mu.Lock()
+	var cancels []func()
+	for _, attempts := range o.inFlight {
+		for a := range attempts {
+			if a.begunAt == 0 && contains(a.parts, part) {
+				cancels = append(cancels, a.cancel)
+			}
+		}
+	}
+	o.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
+	}
+}
+
+func contains(parts []crash.Part, part crash.Part) bool {
+	for _, p := range parts {
+		if p == part {
+			return true
+		}
+	}
+	return false
+}
+
+// Settle clears the parts of answers that got past their beginning, and forgets what is old. Call
+// it several times a second.
+func (o *Observer) Settle() {
+	o.mu.Lock()
+	now := o.Clock.Now()
+	var settled []*Attempt
+	settle := func(a *Attempt) {
+		if !a.settled && a.getsPastBeginning(now) && !o.crashedAfter(a) {
+			a.settled = true
+			settled = append(settled, a)
+		}
+	}
+	for _, attempts := range o.inFlight {
+		for a := range attempts {
+			settle(a)
+		}
+	}
+	kept := o.ended[:0]
+	for _, a := range o.ended {
+		settle(a)
+		if now-a.endedAt <= attemptRetention {
+			kept = append(kept, a)
+		}
+	}
+	clear(o.ended[len(kept):])
+	o.ended = kept
+	for _, a := range settled {
+		o.recordClear(a, now)
+	}
+	for _, times := range []map[backend.Incarnation]clock.Millis{o.crashes, o.breaks} {
+		for server, at := range times {
+			if now-at > attemptRetention {
+				delete(times, server)
+			}
+		}
+	}
+	o.mu.Unlock()
+	if o.OnClear == nil {
+		return
+	}
+	for _, a := range settled {
+		o.OnClear(a.parts, a.begunAt)
+	}
+}
+
+// getsPastBeginning reports whether the answer has been under way for long enough.
+func (a *Attempt) getsPastBeginning(now clock.Millis) bool {
+	return a.begunAt > 0 && now-a.begunAt >= settleTime && (a.complete || a.events >= settleEvents)
+}
+
+// crashedAfter reports whether the server is known to have crashed within settleTime after the
+// answer began. The lock must be held.
+func (o *Observer) crashedAfter(a *Attempt) bool {
+	at, found := o.crashes[a.server]
+	return found && at >= a.begunAt && at-a.begunAt <= settleTime
+}
+
+// recordClear remembers the parts of an answer as clear. The lock must be held.
+func (o *Observer) recordClear(a *Attempt, now clock.Millis) {
+	if len(o.clear)+len(a.parts) > maxClear {
+		o.forgetClear(now)
+	}
+	for _, part := range a.parts {
+		o.clear[part] = max(o.clear[part], a.begunAt)
+	}
+}
+
+// forgetClear forgets the clear parts older than clearRetention, and half of the others if there
+// are still too many. The lock must be held.
+func (o *Observer) forgetClear(now clock.Millis) {
+	for part, at := range o.clear {
+		if now-at > clearRetention {
+			delete(o.clear, part)
+		}
+	}
+	for part := range o.clear {
+		if len(o.clear) <= maxClear/2 {
+			return
+		}
+		delete(o.clear, part)
+	}
+}
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -18,6 +18,7 @@
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/backend"
+	"example.com/dotterelwell/internal/contract/crash"
 	"example.com/dotterelwell/internal/contract/message"
 	"example.com/dotterelwell/internal/contract/routing"
 	"example.com/dotterelwell/internal/link/transporter"
@@ -26,9 +27,11 @@
 	"example.com/dotterelwell/internal/machine/roster"
 	"example.com/dotterelwell/internal/request/bufferer"
 	"example.com/dotterelwell/internal/request/cascader"
+	"example.com/dotterelwell/internal/request/observer"
 	"example.com/dotterelwell/internal/request/predictor"
 	"example.com/dotterelwell/internal/request/retrier"
 	"example.com/dotterelwell/internal/zone/curator"
+	"example.com/dotterelwell/internal/zone/quarantiner"
 )
 
 // Runner runs requests. Set the exported fields before use.
@@ -40,6 +43,10 @@
 	Cascader    *cascader.Cascader
 	Predictor   *predictor.Predictor
 	Bufferer    *bufferer.Bufferer
+	// Observer watches the attempts for crashes of servers, and Quarantiner knows the prompt parts
+	// that cause them. Nil means that attempts are not watched and that no part is in quarantine.
+	Observer    *observer.Observer
+	Quarantiner *quarantiner.Quarantiner
 	// EncodeFunc and DecodeFunc translate to and from the backend servers' protocol.
 	EncodeFunc func(a message.Attempt) *http.Request
 	DecodeFunc func(resp *http.Response) message.Head
@@ -124,6 +131,10 @@
 	requestHash uint64
 	deadline    clock.Millis
 	model       declaration.ModelName
+	// parts are the prompt parts that other requests may share. probed is the part in quarantine
+	// that this request probes with a single send.
+	parts  []crash.Part
+	probed crash.Part
 
 	sends         int  // requests sent to servers, whether or not the servers ran them
 	attemptFailed bool // an earlier attempt ended with ResultError or ResultLost
@@ -143,7 +154,7 @@
 
 // Serve runs a request. It returns nil or a *message.Refusal.
 func (r *Runner) Serve(ctx context.Context, req *message.Request, sink *message.AnswerWriter) error {
-	x := &execution{Runner: r, ctx: ctx, req: req, sink: sink, view: r.ViewFunc(), lastEventID: req.After}
+	x := &execution{Runner: r, ctx: ctx, req: req, sink: sink, view: r.ViewFunc(), lastEventID: req.After, parts: sharedParts(req)}
 	err := x.serve()
 	for _, release := range x.bodyReleases {
 		release()
@@ -155,6 +166,18 @@
 	return nil
 }
 
+func sharedParts(req *message.Request) []crash.Part {
+	ids := req.SharedParts()
+	if len(ids) == 0 {
+		return nil
+	}
+	parts := make([]crash.Part, len(ids))
+	for i, id := range ids {
+		parts[i] = crash.PartOf(id)
+	}
+	return parts
+}
+
 func (x *execution) serve() *message.Refusal {
 	x.awaitInitialState()
 	if refusal := x.resolve(x.view); refusal != nil {
@@ -251,8 +274,16 @@
 	return x.refuse(kind, nil)
 }
 
-// recheckConfig is called while the slot is taken, as the last check before a send. A newer
-// configuration may have moved the route to another service, or removed the route or key.
+// mayRun is called while the slot is taken, as the last check before a send.
+func (x *execution) mayRun(view *curator.View) error {
+	if part, blocked := x.Quarantiner.Blocked(x.parts); blocked && part != x.probed {
+		return x.refuse(message.KindQuarantined, errors.Newf("servers crash under prompt part %s", part))
+	}
+	return x.recheckConfig(view)
+}
+
+// recheckConfig checks that the configuration still allows the request. A newer one may have
+// moved the route to another service, or removed the route or key.
 func (x *execution) recheckConfig(view *curator.View) error {
 	if view == x.view || view.Config == x.view.Config {
 		return nil
@@ -287,6 +318,10 @@
 	switch kind {
 	case message.KindStopping:
 		refusal.RetryAfter = stoppingRetryAfter
+	case message.KindQuarantined:
+		if part, blocked := x.Quarantiner.Blocked(x.parts); blocked {
+			refusal.RetryAfter = x.Quarantiner.Refuse(part)
+		}
 	case message.KindOverloaded:
 		refusal.RetryAfter = max(defaultRetryAfter, x.pause(false).RetryAfter)
 	}
@@ -326,6 +361,14 @@
 		switch {
 		case errors.Is(err, errServiceChanged):
 			continue
+		case errors.As(err, &refusal) && refusal.Kind == message.KindQuarantined:
+			if x.takeProbe() {
+				continue
+			}
+			if x.mayHaveRun {
+				refusal = x.refuseUnserved(refusal.Err)
+			}
+			return nil, refusal
 		case errors.As(err, &refusal):
 			return nil, refusal
 		}
@@ -357,6 +400,18 @@
 	}
 }
 
+// takeProbe reports whether a request that has not been sent yet may be sent once although its
+// prompt has a part in quarantine.
+func (x *execution) takeProbe() bool {
+	part, blocked := x.Quarantiner.Blocked(x.parts)
+	if !blocked || x.probed != 0 || x.sends > 0 || !x.Quarantiner.TakeProbe(x.ctx, part) {
+		return false
+	}
+	x.probed = part
+	klog.InfoS("Request probes a prompt part in quarantine", "request", x.req.ID, "part", part)
+	return true
+}
+
 // pause returns when the request may be sent if all servers that could take it have asked for a
 // pause or name a rate limit. queued is set if the request waits already.
 func (x *execution) pause(queued bool) roster.Pause {
@@ -391,7 +446,7 @@
 
 // wantFor returns the requirements on the server that is to run the request with a model.
 func (x *execution) wantFor(model declaration.ModelName) roster.Want {
-	want := roster.Want{Service: x.service, Exclude: x.excluded, MayRunFunc: x.recheckConfig}
+	want := roster.Want{Service: x.service, Exclude: x.excluded, MayRunFunc: x.mayRun}
 	if x.route.CacheAffine {
 		shared := x.req.SharedTokens()
 		want.SharedWork = x.Predictor.PrefillTime(model, shared)
@@ -431,7 +486,7 @@
 // takeRetry reports whether the request may be sent to one more server. If so, it takes one
 // retry from the service's budget.
 func (x *execution) takeRetry() bool {
-	return x.sends < x.route.MaxAttempts && x.ctx.Err() == nil && x.RetryBudgetFunc(x.service).TryRetry()
+	return x.probed == 0 && x.sends < x.route.MaxAttempts && x.ctx.Err() == nil && x.RetryBudgetFunc(x.service).TryRetry()
 }
 
 // maxLoggedParts bounds the prompt parts in the log line of a request.
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"context"
 	"net/http"
+	"os"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,7 @@
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/machine/roster"
 	"example.com/dotterelwell/internal/request/bufferer"
+	"example.com/dotterelwell/internal/request/observer"
 )
 
 // responseMargin is subtracted from a server's time budget, so that its answer arrives
@@ -40,6 +43,10 @@
 	// empty lines that followed it.
 	lastEventAt clock.Millis
 	idleBytes   []byte
+	// observed is the attempt's record at the Observer. cancel ends the attempt alone.
+	observed *observer.Attempt
+	cancel   context.CancelFunc
+	complete bool // the whole answer has been read
 }
 
 // verdict classifies the result of sending a request.
@@ -79,7 +86,10 @@
 			slot.MarkLeaving()
 		}
 	}
-	answer, err := x.Transporter.Send(x.ctx, call)
+	ctx, cancel := context.WithCancel(x.ctx)
+	t.cancel = cancel
+	t.observed = x.Observer.Start(slot.Server.Incarnation(), x.parts, cancel)
+	answer, err := x.Transporter.Send(ctx, call)
 	t.headLatency = x.Clock.Now() - t.started
 	if err != nil {
 		reportFirstByte(0, false)
@@ -98,6 +108,9 @@
 	}
 	t.answer, t.head = answer, x.DecodeFunc(answer.Response)
 	v := x.classify(&t.head)
+	if v == verdictForward {
+		t.observed.Begin()
+	}
 	slot.RecordHead(adviceOf(&t.head, x.req.ID))
 	if v == verdictForward && x.route.CacheAffine {
 		x.Predictor.ObservePrefill(x.requestedModel(), slot.Work(), t.headLatency)
@@ -160,10 +173,12 @@
 }
 
 // end closes the answer, releases the slot and reports the result of the attempt.
-func (t *activeAttempt) end(result roster.Result, detail string) {
+func (t *activeAttempt) end(result roster.Result, detail string, err error) {
+	t.observed.End(t.observedEnd(result, err))
 	if t.answer != nil {
 		t.answer.Close()
 	}
+	t.cancel()
 	if result != roster.ResultOK && t.ctx.Err() != nil {
 		result = roster.ResultAbandoned
 	}
@@ -178,6 +193,28 @@
 	t.execution.attemptFailed = t.execution.attemptFailed || result == roster.ResultError || result == roster.ResultLost
 }
 
+// observedEnd classifies the end of an attempt for the Observer. err is the error that ended it.
+func (t *activeAttempt) observedEnd(result roster.Result, err error) observer.End {
+	switch {
+	case result == roster.ResultOK && t.complete:
+		return observer.EndComplete
+	case result == roster.ResultLost && t.ctx.Err() == nil && isBroken(err):
+		return observer.EndBroken
+	}
+	return observer.EndOther
+}
+
+// isBroken reports whether an error means that the server's end of the connection was closed before
+// the end of the answer.
+func isBroken(err error) bool {
+	switch {
+	case err == nil, exceededLimit(err) != "", errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, errEventOrder), errors.Is(err, errEventTimeout):
+		return false
+	}
+	kind := transporter.KindOf(err)
+	return kind == "" || kind == transporter.KindLost || kind == transporter.KindStale
+}
+
 func (t *activeAttempt) describe(err error) string {
 	if err != nil {
 		return string(transporter.KindOf(err))
@@ -248,7 +285,8 @@
 				v, err = verdictLost, bodyErr
 			}
 		}
-		t.end(resultByVerdict[v], t.describe(err))
+		t.complete = v == verdictForward
+		t.end(resultByVerdict[v], t.describe(err), err)
 		if v == verdictForward {
 			return x.forward(&t.head, body)
 		}
--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -66,7 +66,7 @@
 			}
 			continue
 		}
-		t.end(resultByVerdict[v], t.describe(err))
+		t.end(resultByVerdict[v], t.describe(err), err)
 		if x.ctx.Err() != nil {
 			return x.contextRefusal()
 		}
@@ -95,7 +95,7 @@
 // saveFailure saves a 5xx answer, ends the attempt and reports whether the request is over.
 func (x *execution) saveFailure(t *activeAttempt) (done bool, refusal *message.Refusal) {
 	body, err := t.body()
-	t.end(roster.ResultError, t.describe(err))
+	t.end(roster.ResultError, t.describe(err), err)
 	x.excludeServer(t.slot.Server.ID)
 	if err == nil && !x.streamStarted {
 		x.savedHead, x.savedBody = &t.head, body
@@ -114,7 +114,7 @@
 func (x *execution) relay(t *activeAttempt) (refusal *message.Refusal, done bool) {
 	if !t.head.OK() {
 		body, err := t.body()
-		t.end(roster.ResultOK, t.describe(err))
+		t.end(roster.ResultOK, t.describe(err), err)
 		if err != nil || x.streamStarted {
 			return x.refuseUnserved(err), true
 		}
@@ -124,7 +124,7 @@
 	if larger := x.Cascader.EscalationModel(x.route, x.model); larger != "" && !x.streamStarted {
 		var escalated bool
 		if escalated, detail = x.escalate(t, larger); escalated {
-			t.end(roster.ResultOK, detail)
+			t.end(roster.ResultOK, detail, nil)
 			x.model = larger
 			return nil, false
 		}
@@ -135,16 +135,17 @@
 		if t.eventsReceived < latencySampleEvents {
 			x.Predictor.ObserveEvents(x.requestedModel(), t.eventsReceived, x.Clock.Now()-begun)
 		}
-		t.end(roster.ResultOK, detail)
+		t.complete = true
+		t.end(roster.ResultOK, detail, nil)
 		return nil, true
 	}
 	var callerGone *sinkError
 	if errors.As(err, &callerGone) {
-		t.end(roster.ResultAbandoned, "caller gone")
+		t.end(roster.ResultAbandoned, "caller gone", err)
 		return x.refuse(message.KindCallerGone, err), true
 	}
 	t.reportOverrun(err)
-	t.end(roster.ResultLost, "broke off after "+x.lastEventID)
+	t.end(roster.ResultLost, "broke off after "+x.lastEventID, err)
 	if x.ctx.Err() != nil {
 		return x.contextRefusal(), true
 	}
@@ -320,6 +321,7 @@
 		t.sampleStart = now
 	}
 	t.eventsReceived++
+	t.observed.RecordEvent()
 	if t.eventsReceived%latencySampleEvents != 0 {
 		return
 	}
