A quarantine is lifted by instances that know the part to be sound

Cause: the cut instance saw crashes that requests of other instances had caused, without the reports and the sound answers of the others, and its verdict was taken over unseen. The probes that should have ended it were prompts that also held the part that crashes servers.

An instance that has seen an answer to a prompt with the part begin less than a second before it learns of the quarantine, and get past its beginning, now releases the part: the first of the crashes was longer ago. A prompt with a second part in quarantine is no probe.

--- a/internal/machine/host/crashes.go
+++ b/internal/machine/host/crashes.go
@@ -18,7 +18,13 @@
 	h.Quarantiner = &quarantiner.Quarantiner{
 		Clock: h.Clock, Store: h.Store,
 		Informer:     h.inform(quarantiner.ObjectKind, patientWait, func(objects []storer.Object) { h.Quarantiner.Apply(objects) }),
-		OnQuarantine: func(part crash.Part) { h.Observer.CancelWaiting(part) },
+		OnQuarantine: h.enforceQuarantine,
+		OnRelease: func(part crash.Part, own bool) {
+			h.Attributor.MergeCleared([]crash.Clearing{{Part: part}})
+			if own {
+				h.Gossiper.SendToAll(context.Background())
+			}
+		},
 	}
 	h.Meter.Gauge("quarantined_parts", "Prompt parts in quarantine, because servers crash under them.", func() float64 { return float64(h.Quarantiner.Count()) })
 	h.Attributor = &attributor.Attributor{Clock: h.Clock, QuarantinedFunc: h.Quarantiner.Quarantined}
@@ -31,6 +37,18 @@
 	}
 }
 
+// enforceQuarantine gives up the attempts that wait at servers with a part that has been put in
+// quarantine, unless this instance knows better: the others may have judged without the reports of
+// some instances.
+func (h *Host) enforceQuarantine(part crash.Part) {
+	if begunAt, found := h.Observer.ClearedAt(part); found {
+		h.Quarantiner.Clear([]crash.Part{part}, begunAt)
+	}
+	if h.Quarantiner.Quarantined(part) {
+		h.Observer.CancelWaiting(part)
+	}
+}
+
 // inquiry returns the inquiry that messages carry now.
 func (h *Host) inquiry() crash.Inquiry {
 	if asking := h.asking.Load(); asking != nil {
--- a/internal/request/observer/observer.go
+++ b/internal/request/observer/observer.go
@@ -341,6 +341,15 @@
 	return cleared
 }
 
+// ClearedAt returns when the last answer began to a prompt with the part that got past its beginning.
+func (o *Observer) ClearedAt(part crash.Part) (begunAt clock.Millis, found bool) {
+	o.Settle()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	begunAt, found = o.clear[part]
+	return begunAt, found
+}
+
 // CancelWaiting gives up the attempts with a prompt part whose answers have not begun.
 func (o *Observer) CancelWaiting(part crash.Part) {
 	o.mu.Lock()
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -276,7 +276,7 @@
 
 // mayRun is called while the slot is taken, as the last check before a send.
 func (x *execution) mayRun(view *curator.View) error {
-	if part, blocked := x.Quarantiner.Blocked(x.parts); blocked && part != x.probed {
+	if part, blocked := x.Quarantiner.Blocked(x.parts, x.probed); blocked {
 		return x.refuse(message.KindQuarantined, errors.Newf("servers crash under prompt part %s", part))
 	}
 	return x.recheckConfig(view)
@@ -319,7 +319,7 @@
 	case message.KindStopping:
 		refusal.RetryAfter = stoppingRetryAfter
 	case message.KindQuarantined:
-		if part, blocked := x.Quarantiner.Blocked(x.parts); blocked {
+		if part, blocked := x.Quarantiner.Blocked(x.parts, x.probed); blocked {
 			refusal.RetryAfter = x.Quarantiner.Refuse(part)
 		}
 	case message.KindOverloaded:
@@ -403,8 +403,11 @@
 // takeProbe reports whether a request that has not been sent yet may be sent once although its
 // prompt has a part in quarantine.
 func (x *execution) takeProbe() bool {
-	part, blocked := x.Quarantiner.Blocked(x.parts)
-	if !blocked || x.probed != 0 || x.sends > 0 || !x.Quarantiner.TakeProbe(x.ctx, part) {
+	part, blocked := x.Quarantiner.Blocked(x.parts, 0)
+	if !blocked || x.probed != 0 || x.sends > 0 {
+		return false
+	}
+	if _, another := x.Quarantiner.Blocked(x.parts, part); another || !x.Quarantiner.TakeProbe(x.ctx, part) {
 		return false
 	}
 	x.probed = part
--- a/internal/zone/quarantiner/quarantiner.go
+++ b/internal/zone/quarantiner/quarantiner.go
@@ -82,6 +82,9 @@
 	laterProbeDelay = 30 * clock.Second
 	// writeInterval is the time between two attempts of one instance to write an entry.
 	writeInterval = 1 * clock.Second
+	// contradictionTime is how long before a quarantine an answer may have begun to contradict it.
+	// The first of the crashes was longer ago: parts get a hearing before they are found guilty.
+	contradictionTime = 1 * clock.Second
 	// retention is how long an entry is kept after the last request with its part.
 	retention = 10 * clock.Minute
 	// maxEntries bounds the entries. Each has cost the crashes of several servers.
@@ -99,6 +102,9 @@
 	Informer *informer.Informer
 	// OnQuarantine, when set, is called without the lock when a part is put in quarantine.
 	OnQuarantine func(part crash.Part)
+	// OnRelease, when set, is called without the lock when a part is released. own is set if this
+	// instance has released it.
+	OnRelease func(part crash.Part, own bool)
 
 	// blocked holds the parts in quarantine; it is replaced and never changed.
 	blocked atomic.Pointer[map[crash.Part]bool]
@@ -111,13 +117,16 @@
 type state struct {
 	Entry
 	changedAt clock.Millis // when this instance learned of the round or the last probe
-	refusedAt clock.Millis // when a request with the part was last refused, here or elsewhere
-	triedAt   clock.Millis // when this instance last tried to write the entry
-	writeAt   clock.Millis // when this instance writes the entry if nobody else has
+	// quarantinedAt is when this instance learned of the quarantine.
+	quarantinedAt clock.Millis
+	refusedAt     clock.Millis // when a request with the part was last refused, here or elsewhere
+	triedAt       clock.Millis // when this instance last tried to write the entry
+	writeAt       clock.Millis // when this instance writes the entry if nobody else has
 }
 
-// Blocked returns the first of the parts that is in quarantine.
-func (q *Quarantiner) Blocked(parts []crash.Part) (part crash.Part, found bool) {
+// Blocked returns the first of the parts that is in quarantine. A request that probes a part may
+// have that part, and no other one.
+func (q *Quarantiner) Blocked(parts []crash.Part, probed crash.Part) (part crash.Part, found bool) {
 	if q == nil {
 		return 0, false
 	}
@@ -126,7 +135,7 @@
 		return 0, false
 	}
 	for _, p := range parts {
-		if (*blocked)[p] {
+		if p != probed && (*blocked)[p] {
 			return p, true
 		}
 	}
@@ -135,7 +144,7 @@
 
 // Quarantined reports whether a part is in quarantine.
 func (q *Quarantiner) Quarantined(part crash.Part) bool {
-	_, found := q.Blocked([]crash.Part{part})
+	_, found := q.Blocked([]crash.Part{part}, 0)
 	return found
 }
 
@@ -154,25 +163,27 @@
 	if held := q.entries[part]; held != nil {
 		e.Round = held.Round + 1 - held.Round%2
 	}
-	added := q.merge(e, "crashes of servers")
+	c := q.merge(e, "crashes of servers")
 	q.mu.Unlock()
-	q.announce(added)
+	q.announce([]change{c}, true)
 }
 
-// Clear releases those of the parts whose quarantine began before an answer to a prompt with
-// them, which got past its beginning.
+// Clear releases those of the parts that were not crashing servers when an answer to a prompt with
+// them began, which got past its beginning.
 func (q *Quarantiner) Clear(parts []crash.Part, begunAt clock.Millis) {
-	if _, found := q.Blocked(parts); !found {
+	if _, found := q.Blocked(parts, 0); !found {
 		return
 	}
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	var changes []change
 	for _, part := range parts {
 		held := q.entries[part]
-		if held != nil && held.quarantined() && begunAt >= held.changedAt {
-			q.merge(Entry{Part: part, Round: held.Round + 1}, "an answer past its beginning")
+		if held != nil && held.quarantined() && begunAt >= held.quarantinedAt-contradictionTime {
+			changes = append(changes, q.merge(Entry{Part: part, Round: held.Round + 1}, "an answer past its beginning"))
 		}
 	}
+	q.mu.Unlock()
+	q.announce(changes, true)
 }
 
 // Merge takes in the entries of another instance.
@@ -203,27 +214,36 @@
 		return
 	}
 	q.mu.Lock()
-	var added []crash.Part
+	var changes []change
 	for _, e := range entries {
 		if e.Idle < retention {
-			added = append(added, q.merge(e, source)...)
+			changes = append(changes, q.merge(e, source))
 		}
 	}
 	q.mu.Unlock()
-	q.announce(added)
+	q.announce(changes, false)
 }
 
-func (q *Quarantiner) announce(added []crash.Part) {
-	if q.OnQuarantine == nil {
-		return
-	}
-	for _, part := range added {
-		q.OnQuarantine(part)
+// change tells whether a merge has put a part in quarantine or released it.
+type change struct {
+	part                  crash.Part
+	quarantined, released bool
+}
+
+// announce calls OnQuarantine and OnRelease. own is set for changes that this instance has made.
+func (q *Quarantiner) announce(changes []change, own bool) {
+	for _, c := range changes {
+		if c.quarantined && q.OnQuarantine != nil {
+			q.OnQuarantine(c.part)
+		}
+		if c.released && q.OnRelease != nil {
+			q.OnRelease(c.part, own)
+		}
 	}
 }
 
-// merge takes in an entry and returns its part if that puts it in quarantine. The lock must be held.
-func (q *Quarantiner) merge(e Entry, source string) (added []crash.Part) {
+// merge takes in an entry. The lock must be held.
+func (q *Quarantiner) merge(e Entry, source string) change {
 	now := q.Clock.Now()
 	held := q.entries[e.Part]
 	if held == nil {
@@ -238,17 +258,18 @@
 	}
 	held.refusedAt = max(held.refusedAt, now-e.Idle)
 	if !e.newerThan(&held.Entry) {
-		return nil
+		return change{part: e.Part}
 	}
 	before := held.quarantined()
 	held.Round, held.Probes, held.changedAt = e.Round, e.Probes, now
 	held.writeAt = now + writeDelay + clock.Millis(rand.Int64N(int64(writeJitter)))
 	klog.InfoS("Quarantine of a prompt part", "part", e.Part, "quarantined", held.quarantined(), "round", e.Round, "probes", e.Probes, "source", source)
 	q.publish()
-	if held.quarantined() && !before {
-		added = append(added, e.Part)
+	c := change{part: e.Part, quarantined: held.quarantined() && !before, released: before && !held.quarantined()}
+	if c.quarantined {
+		held.quarantinedAt = now
 	}
-	return added
+	return c
 }
 
 // evict removes the entry whose part was refused longest ago, released ones first. The lock must
