--- a/internal/zone/attributor/attributor.go
+++ b/internal/zone/attributor/attributor.go
@@ -144,6 +144,7 @@
 // tally counts the crashes of one part.
 type tally struct {
 	all, starting         int
+	victims               int // prompts with the part that servers held as they crashed
 	first                 clock.Millis
 	lastAll, lastStarting clock.Millis
 }
@@ -164,9 +165,14 @@
 	}
 }
 
-// compare orders tallies by their weight against the part.
-func (t *tally) compare(other *tally) int {
-	return cmp.Or(cmp.Compare(t.starting, other.starting), cmp.Compare(t.all, other.all))
+// weight is how well the part explains the crashes: their number, times their number by prompt with
+// the part. A part that many prompts share is in many crashes by chance.
+func (t *tally) weight() float64 {
+	n := float64(t.starting)
+	if t.starting < startingCrashes {
+		n = max(n, float64(t.all)*startingCrashes/anyCrashes)
+	}
+	return n * n / float64(max(t.victims, 1))
 }
 
 // enough reports whether the crashes make the part guilty.
@@ -186,6 +192,7 @@
 				tallies[part] = &tally{}
 			}
 			tallies[part].add(c.at, e.sentAt, e.progress)
+			tallies[part].victims += e.victims
 		}
 	}
 	return tallies
@@ -207,10 +214,11 @@
 }
 
 // evidence is what one crash says against a part: the last send of a prompt with it before the
-// crash, and the furthest progress.
+// crash, the furthest progress and the number of prompts.
 type evidence struct {
 	sentAt   clock.Millis
 	progress crash.Progress
+	victims  int
 }
 
 func (a *Attributor) evidence(c *crashed, blamed func(v crash.Victim) []crash.Part) map[crash.Part]evidence {
@@ -222,7 +230,7 @@
 					continue
 				}
 				e := all[part]
-				all[part] = evidence{sentAt: max(e.sentAt, c.at-v.SentBefore), progress: max(e.progress, v.Progress)}
+				all[part] = evidence{sentAt: max(e.sentAt, c.at-v.SentBefore), progress: max(e.progress, v.Progress), victims: e.victims + 1}
 			}
 		}
 	}
@@ -243,7 +251,7 @@
 	tallies := a.tallies(nil, allParts)
 	suspects := slices.DeleteFunc(slices.Collect(maps.Keys(tallies)), func(p crash.Part) bool { return tallies[p].all < suspectCrashes })
 	slices.SortFunc(suspects, func(x, y crash.Part) int {
-		return cmp.Or(tallies[y].compare(tallies[x]), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(tallies[y].weight(), tallies[x].weight()), cmp.Compare(x, y))
 	})
 	inquiry.Parts = suspects[:min(len(suspects), maxInquiryParts)]
 	for _, c := range slices.Backward(a.crashes) {
@@ -281,8 +289,8 @@
 	}
 }
 
-// mostGuilty returns the part with the most crashes that explained parts have not caused, if they
-// are enough. The lock must be held.
+// mostGuilty returns the part that best explains the crashes that no explained part has caused, if
+// they are enough. The lock must be held.
 func (a *Attributor) mostGuilty(explained map[crash.Part]bool, now clock.Millis) (most crash.Part, found bool) {
 	candidates := a.tallies(explained, allParts)
 	maps.DeleteFunc(candidates, func(part crash.Part, t *tally) bool {
@@ -293,13 +301,16 @@
 	}
 	tallies := a.tallies(explained, func(v crash.Victim) []crash.Part { return a.blame(v, candidates) })
 	for part, t := range tallies {
-		if t.enough() && (!found || t.compare(tallies[most]) > 0 || t.compare(tallies[most]) == 0 && part < most) {
+		if !t.enough() {
+			continue
+		}
+		if !found || t.weight() > tallies[most].weight() || t.weight() == tallies[most].weight() && part < most {
 			most, found = part, true
 		}
 	}
 	if found {
 		t := tallies[most]
-		klog.InfoS("Prompt part crashes servers", "part", most, "starting", t.starting, "all", t.all, "crashes", len(a.crashes), "first-ago-ms", now-t.first)
+		klog.InfoS("Prompt part crashes servers", "part", most, "starting", t.starting, "all", t.all, "prompts", t.victims, "crashes", len(a.crashes), "first-ago-ms", now-t.first)
 	}
 	return most, found
 }
