Log the era of the store's answers and answers older than the copy

Nothing told that the store had been restored from a copy, and a list that counted as older than the copy was dropped without a line.

--- a/internal/contract/storer/storer.go
+++ b/internal/contract/storer/storer.go
@@ -59,6 +59,8 @@
 
 // Changes is the result of a list or watch.
 type Changes struct {
+	// Era is the era of the store that answered. Versions of different eras can't be compared.
+	Era ident.StoreEra `json:"era,omitempty"`
 	// Version is the store version up to which Objects contains all changes.
 	Version ident.StoreVersion `json:"version"`
 	Objects []Object           `json:"objects"`
--- a/internal/machine/ident/ident.go
+++ b/internal/machine/ident/ident.go
@@ -25,6 +25,9 @@
 	Key string
 	// Address is an IP address with a port.
 	Address string
+	// StoreEra counts how often the platform's object API has been restored from a copy. It is
+	// zero for an API that tells no era.
+	StoreEra uint64
 	// StoreVersion counts the changes of the platform's object API.
 	StoreVersion uint64
 )
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -90,6 +90,7 @@
 
 	startedAt    clock.Millis // accessed only by Run
 	storeRetryAt clock.Millis // when an unreachable store is retried; accessed only by Run
+	seenEra      ident.StoreEra // era of the last answer of the store; accessed only by Run
 	call         storeCall
 
 	applyMu   sync.Mutex // held while a change is merged and OnChange is called; acquired before mu
@@ -192,9 +193,23 @@
 		wait = 0
 	}
 	changes, err := i.Store.List(ctx, i.Kind, position, wait)
+	i.logEra(changes, position, err)
 	return Update{Kind: i.Kind, Changes: changes, From: position, Whole: position == 0}, err
 }
 
+// logEra logs an answer of the store that is of another era than the last one, and one that is older
+// than the copy. The lines are bounded by the number of calls that list all objects.
+func (i *Informer) logEra(changes storer.Changes, from ident.StoreVersion, err error) {
+	if err != nil {
+		return
+	}
+	held := i.Position()
+	if changes.Era != i.seenEra || changes.Version < held {
+		klog.InfoS("Store answers from another era or with an older version", "kind", i.Kind, "era", changes.Era, "before", i.seenEra, "version", changes.Version, "from", from, "held", held, "objects", len(changes.Objects))
+	}
+	i.seenEra = changes.Era
+}
+
 func (i *Informer) pullFromPeers(ctx context.Context) {
 	if i.PullFunc == nil {
 		return
@@ -282,6 +297,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if u.Version < i.position || !u.Whole && u.From > i.position {
+		klog.V(1).InfoS("Changes don't apply to the copy", "kind", i.Kind, "version", u.Version, "from", u.From, "whole", u.Whole, "position", i.position)
 		return nil // older than the copy, or changes between the copy and the update are missing
 	}
 	i.setConfirmed(i.Clock.Now() - u.Age)
