--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -88,8 +88,8 @@
 	// error) and when they succeed again (with nil).
 	OnStoreContact func(kind storer.ObjectKind, err error)
 
-	startedAt    clock.Millis // accessed only by Run
-	storeRetryAt clock.Millis // when an unreachable store is retried; accessed only by Run
+	startedAt    clock.Millis   // accessed only by Run
+	storeRetryAt clock.Millis   // when an unreachable store is retried; accessed only by Run
 	seenEra      ident.StoreEra // era of the last answer of the store; accessed only by Run
 	call         storeCall
 
