Compare versions of the store within an era only, and bridge what a restored store lacks

Cause: points in the store's history were compared by revision alone, by the copies of each instance and between instances. A list of the restored store counted as older than the copy and was dropped; the position of peers counted as newer and put the old one back; a change with a revision that had been given out before was taken for known.

Now a point is an era and a version, in copies, positions of peers, confirmations, preconditions and packed changes. The first list of a new era replaces the copy. Objects that the list shows in a state that has been seen replaced, lacks although they are recent, or holds again although deleted, are kept until they are written again or their time is over, and are told to peers. The instances write again what was theirs: their entries, one after the other, outcomes of roll-outs, the quarantine and the removal of stopped instances.

Why this works: era and version together never go back, whatever the order in which lists, watches and peers arrive; and a state that is known to have been replaced can come from the copy alone, so that every other difference is a change of the new era and counts at once.

--- a/internal/contract/storer/storer.go
+++ b/internal/contract/storer/storer.go
@@ -28,6 +28,9 @@
 	KindRejected Kind = "rejected"
 	// KindBusy means that the API accepts no calls at the moment; nothing was changed.
 	KindBusy Kind = "busy"
+	// KindRestored means that the store was restored from a copy, so that the version of a
+	// precondition means nothing any more. The change may have taken effect.
+	KindRestored Kind = "restored"
 	// KindExpired means that the store has discarded its history of changes after the
 	// given version; the objects have to be listed again.
 	KindExpired Kind = "expired"
@@ -49,6 +52,8 @@
 type Object struct {
 	Name    string             `json:"name"`
 	Version ident.StoreVersion `json:"version"`
+	// Era is the era of Version.
+	Era ident.StoreEra `json:"era,omitempty"`
 	// Deleted is set in changes for an object that was removed.
 	Deleted bool   `json:"deleted,omitempty"`
 	Value   []byte `json:"value,omitempty"`
@@ -71,8 +76,15 @@
 type Precondition struct {
 	// Absent requires that the object does not exist.
 	Absent bool
-	// Match, when not zero, requires that the object has this version.
+	// Match, when not zero, requires that the object has this version, in this era.
 	Match ident.StoreVersion
+	Era   ident.StoreEra
+}
+
+// Unchanged returns the precondition that an object has not changed since it was read, or that it
+// still does not exist if it was not found.
+func Unchanged(o Object, found bool) Precondition {
+	return Precondition{Absent: !found, Match: o.Version, Era: o.Era}
 }
 
 // Storer calls the object API. New sets its functions; tests may replace them.
--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -210,7 +210,8 @@
 	}
 	message.Copies = make(map[storer.ObjectKind]CopyStatus, len(g.Informers))
 	for kind, i := range g.Informers {
-		message.Copies[kind] = CopyStatus{Position: i.Position(), Age: i.Age(), Lost: i.StoreLost()}
+		point := i.Point()
+		message.Copies[kind] = CopyStatus{Position: point.Version, Era: point.Era, Kept: i.Kept(), Age: i.Age(), Lost: i.StoreLost()}
 	}
 	return message
 }
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -28,8 +28,12 @@
 
 // CopyStatus describes an instance's copy of the store's objects of one kind.
 type CopyStatus struct {
-	// Position is the store version of the copy.
+	// Position is the store version of the copy, in Era.
 	Position ident.StoreVersion
+	Era      ident.StoreEra
+	// Kept identifies the objects that the sender keeps although the store, restored from a copy,
+	// lacks them; zero for none.
+	Kept uint64
 	// Age is the time since the store confirmed that it had no newer changes.
 	Age clock.Millis
 	// Lost is set while the sender cannot reach the store to read this kind.
@@ -71,6 +75,7 @@
 type PullArgs struct {
 	Kind  storer.ObjectKind
 	After ident.StoreVersion
+	Era   ident.StoreEra // of After
 }
 
 // PullReply is the reply of Service.Pull.
--- a/internal/link/gossiper/pull.go
+++ b/internal/link/gossiper/pull.go
@@ -17,16 +17,21 @@
 		i := g.Informers[kind]
 		switch {
 		case i == nil:
-		case c.Position > i.Position():
+		case i.Point().Before(c.point()), i.LacksKept(c.point(), c.Kept):
 			g.pullFrom(ctx, p, i)
 		default:
-			i.Confirm(c.Position, c.Age)
+			i.Confirm(c.point(), c.Age)
 		}
 	}
 }
 
+// point returns the store's point up to which the copy is complete.
+func (c CopyStatus) point() ident.StorePoint {
+	return ident.StorePoint{Era: c.Era, Version: c.Position}
+}
+
 // Pull asks up to pullPeers random peers in turn for the changes of a kind after a version.
-func (g *Gossiper) Pull(ctx context.Context, kind storer.ObjectKind, after ident.StoreVersion) (informer.Update, bool) {
+func (g *Gossiper) Pull(ctx context.Context, kind storer.ObjectKind, after ident.StorePoint) (informer.Update, bool) {
 	peers := slices.Clone(g.PeersFunc())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, p := range peers[:min(pullPeers, len(peers))] {
@@ -45,14 +50,14 @@
 		return // a pull of the same kind is in progress
 	}
 	defer g.finishPull(i.Kind)
-	if update, found := g.pullOnce(ctx, p, i.Kind, i.Position()); found {
+	if update, found := g.pullOnce(ctx, p, i.Kind, i.Point()); found {
 		i.Apply(update)
 	}
 }
 
-func (g *Gossiper) pullOnce(ctx context.Context, p Peer, kind storer.ObjectKind, after ident.StoreVersion) (informer.Update, bool) {
+func (g *Gossiper) pullOnce(ctx context.Context, p Peer, kind storer.ObjectKind, after ident.StorePoint) (informer.Update, bool) {
 	var reply PullReply
-	err := g.callWithTimeout(ctx, pullTimeout, p, "Pull", PullArgs{Kind: kind, After: after}, &reply)
+	err := g.callWithTimeout(ctx, pullTimeout, p, "Pull", PullArgs{Kind: kind, After: after.Version, Era: after.Era}, &reply)
 	if err == nil {
 		err = reply.unpack()
 	}
--- a/internal/link/gossiper/service.go
+++ b/internal/link/gossiper/service.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/ident"
 )
 
 // serviceName is the net/rpc name of Service.
@@ -35,7 +36,7 @@
 	if i == nil {
 		return nil
 	}
-	reply.Update, reply.Found = i.ChangesSince(args.After)
+	reply.Update, reply.Found = i.ChangesSince(ident.StorePoint{Era: args.Era, Version: args.After})
 	packed, err := s.gossiper.packer.Pack(reply.Update)
 	if err != nil {
 		klog.ErrorS(err, "Failed to compress changes; sending them uncompressed", "kind", args.Kind)
--- a/internal/link/packer/packer.go
+++ b/internal/link/packer/packer.go
@@ -42,8 +42,10 @@
 }
 
 type compressed struct {
-	from, to ident.StoreVersion
-	raw      []byte
+	from  ident.StoreVersion
+	to    ident.StorePoint
+	whole bool
+	raw   []byte
 }
 
 // Pack returns the changed objects of u in compressed form, or nil if they are smaller than
@@ -58,7 +60,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if held, found := p.last[u.Kind]; found && held.from == u.From && held.to == u.Version {
+	to := ident.StorePoint{Era: u.Era, Version: u.Version}
+	if held, found := p.last[u.Kind]; found && held.from == u.From && held.to == to && held.whole == u.Whole {
 		return held.raw, nil
 	}
 	var out bytes.Buffer
@@ -75,7 +78,7 @@
 	if p.last == nil {
 		p.last = map[storer.ObjectKind]compressed{}
 	}
-	p.last[u.Kind] = compressed{from: u.From, to: u.Version, raw: out.Bytes()}
+	p.last[u.Kind] = compressed{from: u.From, to: to, whole: u.Whole, raw: out.Bytes()}
 	return out.Bytes(), nil
 }
 
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -235,7 +235,7 @@
 // request may go.
 func (h *Host) informed() bool {
 	for _, kind := range []storer.ObjectKind{platform.RoutingKind, platform.EvacuationKind, platform.RolloutKind, platform.ServerKind} {
-		if h.informers[kind].Position() == 0 {
+		if !h.informers[kind].Loaded() {
 			return false
 		}
 	}
--- a/internal/machine/host/rollout.go
+++ b/internal/machine/host/rollout.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bytes"
 	"context"
 
 	"k8s.io/klog/v2"
@@ -24,11 +25,19 @@
 		return
 	}
 	for service, order := range h.Curator.View().Rollouts {
-		if order.Outcome != backend.OutcomeOpen || !h.holdsDuty(service) {
+		if !h.holdsDuty(service) {
 			continue
 		}
 		object, found := h.informers[platform.RolloutKind].Get(string(service))
-		if !found {
+		stored, isStored := h.informers[platform.RolloutKind].Stored(string(service))
+		if !found || !isStored {
+			continue
+		}
+		if h.lostStatus(object, stored) {
+			h.record(ctx, stored, order)
+			continue
+		}
+		if order.Outcome != backend.OutcomeOpen {
 			continue
 		}
 		outcome := h.Stager.DueOutcome(order, h.oldInFlight(service, order.Target))
@@ -40,6 +49,11 @@
 	}
 }
 
+// lostStatus reports whether a restored store has lost the status of an order.
+func (h *Host) lostStatus(order, stored storer.Object) bool {
+	return len(order.Status) > 0 && bytes.Equal(order.Value, stored.Value) && !bytes.Equal(order.Status, stored.Status)
+}
+
 func (h *Host) record(ctx context.Context, object storer.Object, order backend.Rollout) {
 	status, err := platform.EncodeRolloutStatus(order)
 	if err != nil {
@@ -47,7 +61,7 @@
 		return
 	}
 	informer := h.informers[platform.RolloutKind]
-	version, err := h.Store.PutStatus(ctx, platform.RolloutKind, object.Name, status, storer.Precondition{Match: object.Version})
+	version, err := h.Store.PutStatus(ctx, platform.RolloutKind, object.Name, status, storer.Unchanged(object, true))
 	switch storer.KindOf(err) {
 	case storer.KindBusy, storer.KindUnavailable:
 		informer.RecordStoreCall(err)
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -170,6 +170,9 @@
 		h.Transporter.Sweep()
 		h.Sweeper.Sweep()
 		h.Stager.Tick()
+		for _, i := range h.informers {
+			i.ExpireKept()
+		}
 		h.recordRollouts(ctx)
 		h.attributeCrashes(ctx)
 		h.removeGone(ctx)
@@ -192,6 +195,7 @@
 		return
 	}
 	h.removedAt = now
+	h.Enlister.RemoveReturned(ctx)
 	for _, instance := range h.Gossiper.UnreachableFor(goneSpan) {
 		h.Enlister.Remove(ctx, instance)
 	}
--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"k8s.io/klog/v2"
 
@@ -9,6 +10,7 @@
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/machine/roster"
 	"example.com/dotterelwell/internal/version/stager"
 	"example.com/dotterelwell/internal/zone/curator"
@@ -46,11 +48,48 @@
 		ShouldWatchFunc:  func() bool { return h.Enlister.Synced() && h.Gossiper.Watches(kind) },
 		OnFetched:        func(storer.ObjectKind) { h.Gossiper.SendToNeighbours(context.Background()) },
 		OnHistoryExpired: h.restartWatches,
+		OnRestored:       h.noteRestored,
+		KeepTimes:        keepTimes[kind],
 	}
 	h.informers[kind] = i
 	return i
 }
 
+// keepTimes bounds how long objects are kept that a restored store lacks. A live server writes its
+// entry within about two seconds, and the platform removes that of a dead one within four. A zone may
+// be taken out of service again although the store holds that order already. Instances write their
+// entries one after the other.
+var keepTimes = map[storer.ObjectKind]informer.KeepTimes{
+	platform.ServerKind:     {Missing: 2 * clock.Second, Returned: 5 * clock.Second},
+	platform.EvacuationKind: {Returned: 3 * clock.Second},
+	enlister.ObjectKind:     {Missing: 30 * clock.Second},
+}
+
+// noteRestored makes the watches of all other kinds list their objects, when one of them has found
+// that the store was restored from a copy.
+func (h *Host) noteRestored(found storer.ObjectKind, era ident.StoreEra) {
+	for kind, i := range h.informers {
+		if kind != found {
+			i.NoteEra(era)
+		}
+	}
+}
+
+// serverState returns the part of a server's entry that matters: the entry also holds a count and a
+// time that change without a new version.
+func serverState(o storer.Object) []byte {
+	server, err := platform.DecodeServer(o)
+	if err != nil {
+		return o.Value
+	}
+	server.ColdFor = 0
+	state, err := json.Marshal(server)
+	if err != nil {
+		return o.Value
+	}
+	return state
+}
+
 // restartWatches lets the watches of all other kinds find out what one of them has: that
 // the store is lost, or has dropped its history. They would hear nothing until their wait
 // ends.
@@ -84,6 +123,7 @@
 	h.inform(platform.EvacuationKind, patientWait, h.Curator.ApplyEvacuations)
 	h.inform(platform.RolloutKind, patientWait, h.Curator.ApplyRollouts)
 	servers := h.inform(platform.ServerKind, h.promptWait(), func(objects []storer.Object) { h.Roster.Apply(objects) })
+	servers.StateFunc = serverState
 	instances := h.inform(enlister.ObjectKind, patientWait, func([]storer.Object) { h.refreshInstances() })
 	instances.InitialSyncWait = 0
 	h.Enlister = &enlister.Enlister{
--- a/internal/machine/ident/ident.go
+++ b/internal/machine/ident/ident.go
@@ -51,3 +51,15 @@
 	_, _ = rand.Read(b[:]) // crypto/rand.Read never returns an error
 	return hex.EncodeToString(b[:])
 }
+
+// StorePoint is a version within an era.
+type StorePoint struct {
+	Era     StoreEra
+	Version StoreVersion
+}
+
+// Before reports whether the point is earlier than another one. A later era comes after all
+// versions of the eras before it.
+func (p StorePoint) Before(other StorePoint) bool {
+	return p.Era < other.Era || p.Era == other.Era && p.Version < other.Version
+}
--- a/internal/zone/enlister/enlister.go
+++ b/internal/zone/enlister/enlister.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -68,6 +69,9 @@
 	// countedDelay is how long after an instance has found its new entry in the list the others
 	// take to learn of it, also if the watch of one of them has fallen silent.
 	countedDelay = 2 * clock.Second
+	// rewriteSpacing is the mean time between two instances that write their entries again after a
+	// restore of the store.
+	rewriteSpacing clock.Millis = 20
 	// syncPollInterval is how often Run checks whether the informer has read the list for the
 	// first time.
 	syncPollInterval clock.Millis = 20
@@ -82,6 +86,10 @@
 	Instance ident.Instance
 	Entry    Entry
 
+	// rewriteAt is when the entry that a restored store has lost is written again; zero if it has
+	// not been missed. Accessed only by Run.
+	rewriteAt clock.Millis
+
 	members atomic.Pointer[memberList]
 	synced  atomic.Bool
 	// isNew is set when this process has written its entry because the list lacked it.
@@ -126,8 +134,12 @@
 // register writes this instance's entry if the list lacks it or holds a different one. It
 // reports whether the list lacked it.
 func (e *Enlister) register(ctx context.Context) (isNew bool) {
-	held, found := e.Informer.Get(string(e.Instance))
-	if found && e.isOwnEntry(held.Value) {
+	stored, found := e.Informer.Stored(string(e.Instance))
+	if found && e.isOwnEntry(stored.Value) {
+		e.rewriteAt = 0
+		return false
+	}
+	if _, lost := e.Informer.Get(string(e.Instance)); !found && lost && !e.mayRewrite() {
 		return false
 	}
 	value, err := json.Marshal(e.Entry)
@@ -138,7 +150,7 @@
 	if !found {
 		e.isNew.Store(true)
 	}
-	pre := storer.Precondition{Absent: !found, Match: held.Version}
+	pre := storer.Unchanged(stored, found)
 	version, err := e.Store.Put(ctx, ObjectKind, string(e.Instance), value, pre)
 	if err != nil {
 		// A write that timed out may still take effect; the next check compares with the list.
@@ -149,14 +161,33 @@
 	return !found
 }
 
+// mayRewrite reports whether this instance may write its entry again, which a restored store has
+// lost. The instances of a fleet do so one after the other.
+func (e *Enlister) mayRewrite() bool {
+	now := e.Clock.Now()
+	if e.rewriteAt == 0 {
+		e.rewriteAt = now + clock.Millis(rand.Int64N(int64(len(e.Names()))*int64(rewriteSpacing)))
+	}
+	return now >= e.rewriteAt
+}
+
+// RemoveReturned deletes the entries of instances that had been removed and that a restored store
+// holds again. Call it at one instance.
+func (e *Enlister) RemoveReturned(ctx context.Context) {
+	for _, o := range e.Informer.Returned() {
+		err := e.Store.Delete(ctx, ObjectKind, o.Name, storer.Unchanged(o, true))
+		klog.InfoS("Tried to remove the entry of a stopped instance again", "instance", o.Name, "revision", o.Version, "removed", err == nil, "err", err)
+	}
+}
+
 // Remove deletes the entry of an instance that has stopped. An instance that is still
 // running finds its entry missing and registers itself again.
 func (e *Enlister) Remove(ctx context.Context, instance ident.Instance) {
-	held, found := e.Informer.Get(string(instance))
+	held, found := e.Informer.Stored(string(instance))
 	if !found {
 		return
 	}
-	err := e.Store.Delete(ctx, ObjectKind, string(instance), storer.Precondition{Match: held.Version})
+	err := e.Store.Delete(ctx, ObjectKind, string(instance), storer.Unchanged(held, true))
 	klog.InfoS("Tried to remove the entry of a stopped instance", "instance", instance, "revision", held.Version, "removed", err == nil, "err", err)
 }
 
--- a/internal/zone/informer/call.go
+++ b/internal/zone/informer/call.go
@@ -46,3 +46,13 @@
 	c.restarted = true
 	c.cancel()
 }
+
+// cancelNow cancels the call in progress, whatever its age.
+func (c *storeCall) cancelNow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.restarted = true
+		c.cancel()
+	}
+}
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -57,6 +57,8 @@
 	Whole bool
 	// Age is how long ago the store confirmed that no newer version existed.
 	Age clock.Millis
+	// Kept holds what another instance keeps although the store, restored from a copy, differs.
+	Kept []Kept
 }
 
 // Informer keeps the copy of one kind of objects. Set the exported fields before use.
@@ -80,23 +82,39 @@
 	OnChange func(objects []storer.Object)
 	// PullFunc, when set, fetches the changes after a version from other instances. It is
 	// called after a failed call to the store.
-	PullFunc func(ctx context.Context, kind storer.ObjectKind, after ident.StoreVersion) (Update, bool)
+	PullFunc func(ctx context.Context, kind storer.ObjectKind, after ident.StorePoint) (Update, bool)
 	// OnHistoryExpired, when set, is called when the store has dropped the change history that
 	// a watch needs. Watches of other kinds have then missed changes as well.
 	OnHistoryExpired func(kind storer.ObjectKind)
+	// KeepTimes bounds how long objects are kept that a restored store lacks or holds otherwise.
+	KeepTimes KeepTimes
+	// StateFunc, when set, returns the part of an object that matters, for a comparison of objects
+	// that change without a new version.
+	StateFunc func(o storer.Object) []byte
+	// OnRestored, when set, is called when an answer of the store shows that it has been restored.
+	OnRestored func(kind storer.ObjectKind, era ident.StoreEra)
 	// OnStoreContact, when set, is called when calls to the store start to fail (with the
 	// error) and when they succeed again (with nil).
 	OnStoreContact func(kind storer.ObjectKind, err error)
 
-	startedAt    clock.Millis   // accessed only by Run
-	storeRetryAt clock.Millis   // when an unreachable store is retried; accessed only by Run
-	seenEra      ident.StoreEra // era of the last answer of the store; accessed only by Run
+	startedAt    clock.Millis // accessed only by Run
+	storeRetryAt clock.Millis // when an unreachable store is retried; accessed only by Run
 	call         storeCall
 
-	applyMu   sync.Mutex // held while a change is merged and OnChange is called; acquired before mu
-	mu        sync.Mutex
-	objects   map[string]storer.Object
-	position  ident.StoreVersion
+	applyMu  sync.Mutex // held while a change is merged and OnChange is called; acquired before mu
+	mu       sync.Mutex
+	objects  map[string]storer.Object
+	position ident.StoreVersion
+	// era is the era of position and of the copy; loaded is set when there has been a copy.
+	era    ident.StoreEra
+	loaded bool
+	// newestEra is the highest era that the instance knows of.
+	newestEra ident.StoreEra
+	// past holds the earlier states of objects that changed lately, and learnedAt when this
+	// instance learned of the present state. kept holds what a restored store lacks.
+	past      map[string][]pastState
+	learnedAt map[string]clock.Millis
+	kept      map[string]keptObject
 	history   []changeRange
 	retained  int
 	storeLost bool
@@ -146,6 +164,9 @@
 			continue
 		}
 		backoff = firstBackoff
+		if i.discoversRestore(update) {
+			continue // the answer to a watch from an earlier era is not complete
+		}
 		i.Apply(update)
 		if len(update.Objects) > 0 {
 			if i.OnFetched != nil {
@@ -193,28 +214,14 @@
 		wait = 0
 	}
 	changes, err := i.Store.List(ctx, i.Kind, position, wait)
-	i.logEra(changes, position, err)
 	return Update{Kind: i.Kind, Changes: changes, From: position, Whole: position == 0}, err
 }
 
-// logEra logs an answer of the store that is of another era than the last one, and one that is older
-// than the copy. The lines are bounded by the number of calls that list all objects.
-func (i *Informer) logEra(changes storer.Changes, from ident.StoreVersion, err error) {
-	if err != nil {
-		return
-	}
-	held := i.Position()
-	if changes.Era != i.seenEra || changes.Version < held {
-		klog.InfoS("Store answers from another era or with an older version", "kind", i.Kind, "era", changes.Era, "before", i.seenEra, "version", changes.Version, "from", from, "held", held, "objects", len(changes.Objects))
-	}
-	i.seenEra = changes.Era
-}
-
 func (i *Informer) pullFromPeers(ctx context.Context) {
 	if i.PullFunc == nil {
 		return
 	}
-	if update, found := i.PullFunc(ctx, i.Kind, i.Position()); found {
+	if update, found := i.PullFunc(ctx, i.Kind, i.Point()); found {
 		i.Apply(update)
 	}
 }
@@ -236,11 +243,13 @@
 	defer i.applyMu.Unlock()
 	i.mu.Lock()
 	held, found := i.objects[name]
-	newer := found && held.Version < o.Version
+	newer := found && held.Era == o.Era && held.Version < o.Version
 	if newer {
-		i.objects[name] = o
+		delete(i.kept, name)
+		i.replace(o)
 	}
 	i.mu.Unlock()
+	i.NoteEra(o.Era)
 	if newer && i.OnChange != nil {
 		i.OnChange([]storer.Object{o})
 	}
@@ -296,20 +305,36 @@
 func (i *Informer) merge(u Update) []storer.Object {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if u.Era < i.era {
+		return nil
+	}
+	if i.objects == nil {
+		i.objects, i.learnedAt = map[string]storer.Object{}, map[string]clock.Millis{}
+		i.past, i.kept = map[string][]pastState{}, map[string]keptObject{}
+	}
+	if u.Era > i.era {
+		if !u.Whole {
+			return nil
+		}
+		return append(i.enterEra(u), i.adoptKept(u)...)
+	}
 	if u.Version < i.position || !u.Whole && u.From > i.position {
-		klog.V(1).InfoS("Changes don't apply to the copy", "kind", i.Kind, "version", u.Version, "from", u.From, "whole", u.Whole, "position", i.position)
 		return nil // older than the copy, or changes between the copy and the update are missing
 	}
 	i.setConfirmed(i.Clock.Now() - u.Age)
-	if u.Version == i.position {
-		return nil
-	}
-	if i.objects == nil {
-		i.objects = map[string]storer.Object{}
+	var changed []storer.Object
+	if u.Version > i.position {
+		changed = i.mergeNewer(u)
 	}
+	return append(changed, i.adoptKept(u)...)
+}
+
+// mergeNewer merges a newer update of the copy's era. The lock must be held.
+func (i *Informer) mergeNewer(u Update) []storer.Object {
 	var changed []storer.Object
 	listed := map[string]bool{}
 	for _, o := range u.Objects {
+		o.Era = u.Era
 		listed[o.Name] = true
 		if i.mergeOne(o) {
 			changed = append(changed, o)
@@ -319,38 +344,56 @@
 		changed = append(changed, i.removeUnlisted(listed, u.Version)...)
 	}
 	i.retain(u)
-	i.position = u.Version
+	i.position, i.loaded = u.Version, true
 	return changed
 }
 
 func (i *Informer) mergeOne(o storer.Object) bool {
+	if k, found := i.kept[o.Name]; found && k.listed != nil && !o.Deleted && k.listed.Version >= o.Version {
+		return false // what the store was restored to
+	}
 	held, found := i.objects[o.Name]
+	if i.lacksStatus(o, held) {
+		listed := o
+		o.Status = held.Status
+		i.keep(o.Name, o, &listed, i.kept[o.Name].version)
+		return true
+	}
+	delete(i.kept, o.Name)
 	if found && held.Version > o.Version {
 		return false
 	}
 	if o.Deleted {
-		delete(i.objects, o.Name)
+		i.forget(o.Name)
 		return found
 	}
 	if found && held.Version == o.Version {
 		return false
 	}
-	i.objects[o.Name] = o
+	i.replace(o)
 	return true
 }
 
 // removeUnlisted removes the objects that are missing from a full list at a version, and
-// returns them marked as deleted. Objects that are newer than the list stay.
+// returns them marked as deleted. Objects that are newer than the list stay, and so do those that
+// a restored store has lacked since.
 func (i *Informer) removeUnlisted(listed map[string]bool, at ident.StoreVersion) []storer.Object {
 	var removed []storer.Object
 	for name, held := range i.objects {
-		if listed[name] || held.Version > at {
+		k, kept := i.kept[name]
+		if listed[name] || held.Version > at || kept && k.listed == nil {
 			continue
 		}
-		delete(i.objects, name)
+		delete(i.kept, name)
+		i.forget(name)
 		held.Deleted = true
 		removed = append(removed, held)
 	}
+	for name, k := range i.kept {
+		if k.deleted && !listed[name] {
+			delete(i.kept, name)
+		}
+	}
 	return removed
 }
 
@@ -376,24 +419,24 @@
 	}
 }
 
-// ChangesSince returns the changes after a version, or all objects if the history no longer
-// reaches back to the version. It reports false if the copy has nothing newer.
-func (i *Informer) ChangesSince(after ident.StoreVersion) (Update, bool) {
+// ChangesSince returns the changes after a point, or all objects if the history no longer reaches
+// back to it. It reports false if the copy has nothing newer and keeps no object.
+func (i *Informer) ChangesSince(after ident.StorePoint) (Update, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if after >= i.position {
-		return Update{}, false
+	point := ident.StorePoint{Era: i.era, Version: i.position}
+	u := Update{Kind: i.Kind, Changes: storer.Changes{Era: i.era, Version: i.position}, From: after.Version, Age: i.age(), Kept: i.keptForPeers()}
+	if !after.Before(point) {
+		u.Version = after.Version // nothing but the objects kept
+		return u, after == point && len(u.Kept) > 0
 	}
-	u := Update{Kind: i.Kind, Changes: storer.Changes{Version: i.position}, From: after, Age: i.age()}
-	if len(i.history) == 0 || after < i.history[0].from {
+	if after.Era != i.era || len(i.history) == 0 || after.Version < i.history[0].from {
 		u.Whole = true
-		for _, o := range i.objects {
-			u.Objects = append(u.Objects, o)
-		}
+		u.Objects = i.storedObjects()
 		return u, true
 	}
 	for _, s := range i.history {
-		if s.to > after {
+		if s.to > after.Version {
 			u.Objects = append(u.Objects, s.objects...)
 		}
 	}
@@ -408,12 +451,26 @@
 	return i.position
 }
 
+// Point returns the position with its era.
+func (i *Informer) Point() ident.StorePoint {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return ident.StorePoint{Era: i.era, Version: i.position}
+}
+
+// Loaded reports whether there has been a complete copy.
+func (i *Informer) Loaded() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.loaded
+}
+
 // Confirm records that the store confirmed to another instance, at the given time ago, that
 // nothing newer than position existed. It has no effect unless this copy has that position.
-func (i *Informer) Confirm(position ident.StoreVersion, age clock.Millis) {
+func (i *Informer) Confirm(point ident.StorePoint, age clock.Millis) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if position == i.position {
+	if point.Era == i.era && point.Version == i.position {
 		i.setConfirmed(i.Clock.Now() - age)
 	}
 }
--- a/internal/zone/informer/informer_test.go
+++ b/internal/zone/informer/informer_test.go
@@ -132,7 +132,7 @@
 			} else {
 				first.Apply(h.since(first.Position(), h.version))
 			}
-			if u, found := first.ChangesSince(second.Position()); found && rapid.Bool().Draw(t, "pull") {
+			if u, found := first.ChangesSince(second.Point()); found && rapid.Bool().Draw(t, "pull") {
 				second.Apply(u)
 				if second.Position() != first.Position() || len(second.Objects()) != len(first.Objects()) {
 					t.Fatalf("second at %d with %d objects, first at %d with %d", second.Position(), len(second.Objects()), first.Position(), len(first.Objects()))
@@ -165,7 +165,7 @@
 		} else {
 			first.Apply(h.since(1, 2))
 		}
-		u, found := first.ChangesSince(second.Position())
+		u, found := first.ChangesSince(second.Point())
 		if !found {
 			t.Fatalf("whole list %v: nothing is passed on", whole)
 		}
@@ -242,8 +242,8 @@
 				}
 				return h.since(since, h.newest()).Changes, nil
 			}),
-			PullFunc: func(_ context.Context, _ storer.ObjectKind, after ident.StoreVersion) (informer.Update, bool) {
-				return h.since(after, h.newest()), after < h.newest()
+			PullFunc: func(_ context.Context, _ storer.ObjectKind, after ident.StorePoint) (informer.Update, bool) {
+				return h.since(after.Version, h.newest()), after.Version < h.newest()
 			},
 			OnStoreContact: func(_ storer.ObjectKind, err error) { contacts = append(contacts, err == nil) },
 		}
@@ -341,14 +341,14 @@
 	h.write("a", false)
 	i.Apply(h.fullList(1))
 	now += 1500
-	i.Confirm(1, 100) // a peer has reached the store
+	i.Confirm(ident.StorePoint{Version: 1}, 100) // a peer has reached the store
 	now += 1500
-	i.Confirm(1, 100)
+	i.Confirm(ident.StorePoint{Version: 1}, 100)
 	if i.OutageEndedAt() != 0 {
 		t.Errorf("outage ended at %d though the store was always reachable", i.OutageEndedAt())
 	}
 	now += 3000
-	i.Confirm(1, 0)
+	i.Confirm(ident.StorePoint{Version: 1}, 0)
 	if i.OutageEndedAt() != now {
 		t.Errorf("outage ended at %d, want %d", i.OutageEndedAt(), now)
 	}
--- a/internal/zone/quarantiner/quarantiner.go
+++ b/internal/zone/quarantiner/quarantiner.go
@@ -355,12 +355,12 @@
 	next := held.Entry
 	q.mu.Unlock()
 	next.Probes++
-	object, found := q.Informer.Get(part.String())
+	object, found := q.Informer.Stored(part.String())
 	var stored Entry
 	if !found || json.Unmarshal(object.Value, &stored) != nil || stored.Round != next.Round || stored.Probes != next.Probes-1 {
 		return false // the store's entry is not the one that this instance knows
 	}
-	if !q.write(ctx, next, storer.Precondition{Match: object.Version}) {
+	if !q.write(ctx, next, storer.Unchanged(object, true)) {
 		return false
 	}
 	q.mergeAll([]Entry{next}, "own probe")
@@ -413,7 +413,7 @@
 
 // save writes an entry if the store's is older.
 func (q *Quarantiner) save(ctx context.Context, e Entry) {
-	object, found := q.Informer.Get(e.Part.String())
+	object, found := q.Informer.Stored(e.Part.String())
 	var stored Entry
 	if found && json.Unmarshal(object.Value, &stored) == nil && !e.newerThan(&stored) {
 		return
@@ -427,7 +427,7 @@
 	}
 	q.mu.Unlock()
 	if !waits {
-		q.write(ctx, e, storer.Precondition{Absent: !found, Match: object.Version})
+		q.write(ctx, e, storer.Unchanged(object, found))
 	}
 }
 
@@ -444,7 +444,7 @@
 		if held != nil {
 			continue
 		}
-		err := q.Store.Delete(ctx, ObjectKind, o.Name, storer.Precondition{Match: o.Version})
+		err := q.Store.Delete(ctx, ObjectKind, o.Name, storer.Unchanged(o, true))
 		klog.InfoS("Tried to remove a forgotten quarantine", "part", e.Part, "revision", o.Version, "removed", err == nil, "err", err)
 		return // one in each tick
 	}
