--- a/internal/zone/attributor/attributor.go
+++ b/internal/zone/attributor/attributor.go
@@ -27,6 +27,9 @@
 	anyCrashes      = 5
 	// suspectCrashes is the number of crashes from which the instances are asked about a part.
 	suspectCrashes = 2
+	// commonShare is the share of the prompts at crashed servers above which a part is the last to
+	// be suspected.
+	commonShare = 0.9
 	// momentSpan is the span in which crashes count as one, unless the prompt was sent to the
 	// second server after the crash of the first.
 	momentSpan clock.Millis = 100
@@ -165,14 +168,10 @@
 	}
 }
 
-// weight is how well the part explains the crashes: their number, times their number by prompt with
-// the part. A part that many prompts share is in many crashes by chance.
-func (t *tally) weight() float64 {
-	n := float64(t.starting)
-	if t.starting < startingCrashes {
-		n = max(n, float64(t.all)*startingCrashes/anyCrashes)
-	}
-	return n * n / float64(max(t.victims, 1))
+// compare orders tallies by the crashes that the part explains. Of two parts in as many crashes the
+// one with more prompts comes first: all prompts with the guilty part end with a crash.
+func (t *tally) compare(other *tally) int {
+	return cmp.Or(cmp.Compare(t.starting, other.starting), cmp.Compare(t.all, other.all), cmp.Compare(t.victims, other.victims))
 }
 
 // enough reports whether the crashes make the part guilty.
@@ -251,7 +250,7 @@
 	tallies := a.tallies(nil, allParts)
 	suspects := slices.DeleteFunc(slices.Collect(maps.Keys(tallies)), func(p crash.Part) bool { return tallies[p].all < suspectCrashes })
 	slices.SortFunc(suspects, func(x, y crash.Part) int {
-		return cmp.Or(cmp.Compare(tallies[y].weight(), tallies[x].weight()), cmp.Compare(x, y))
+		return cmp.Or(tallies[y].compare(tallies[x]), cmp.Compare(x, y))
 	})
 	inquiry.Parts = suspects[:min(len(suspects), maxInquiryParts)]
 	for _, c := range slices.Backward(a.crashes) {
@@ -299,12 +298,13 @@
 	if len(candidates) == 0 {
 		return 0, false
 	}
+	prompts := a.prompts(explained)
 	tallies := a.tallies(explained, func(v crash.Victim) []crash.Part { return a.blame(v, candidates) })
 	for part, t := range tallies {
 		if !t.enough() {
 			continue
 		}
-		if !found || t.weight() > tallies[most].weight() || t.weight() == tallies[most].weight() && part < most {
+		if !found || cmp.Or(compareCommon(candidates[most], candidates[part], prompts), t.compare(tallies[most]), cmp.Compare(most, part)) > 0 {
 			most, found = part, true
 		}
 	}
@@ -315,6 +315,32 @@
 	return most, found
 }
 
+// prompts returns the number of prompts that servers held as they crashed. The lock must be held.
+func (a *Attributor) prompts(explained map[crash.Part]bool) int {
+	n := 0
+	for _, c := range a.crashes {
+		if a.isExplained(c, explained) {
+			continue
+		}
+		for _, victims := range c.victims {
+			n += len(victims)
+		}
+	}
+	return n
+}
+
+// compareCommon orders two parts by whether nearly all prompts have them: such a part is in every
+// crash, whatever its cause.
+func compareCommon(x, y *tally, prompts int) int {
+	common := func(t *tally) int {
+		if float64(t.victims) > commonShare*float64(prompts) {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Compare(common(x), common(y))
+}
+
 // blame returns the one part of a victim's prompt that explains the crash: of the candidates the
 // part that has not been clear lately, and of these the last in the prompt. The parts before it
 // are in the same prompts and, more often than it, in sound ones. The lock must be held.
--- a/internal/zone/attributor/attributor_test.go
+++ b/internal/zone/attributor/attributor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"example.com/dotterelwell/internal/contract/backend"
@@ -204,3 +205,30 @@
 		t.Errorf("%d crashes and %d parts are held, an inquiry has %d parts and %d servers", len(tr.Attributor.crashes), parts, len(inquiry.Parts), len(inquiry.Servers))
 	}
 }
+
+// TestWavesOfCrashes guards against a sound part that happens to be in most crashes being found guilty
+// before the part that is in all of them, where all servers crash again and again and no answer clears any.
+func TestWavesOfCrashes(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, seed))
+		tr := newTrial()
+		var guilty []crash.Part
+		for range 3 {
+			for range 3 {
+				prompts := [][]crash.Part{}
+				for range 2 + rng.IntN(3) {
+					prompts = append(prompts, []crash.Part{first, deadly})
+				}
+				for range 8 {
+					prompts = append(prompts, []crash.Part{first, crash.Part(100 + rng.IntN(20))})
+				}
+				tr.crash("front-1", crash.Starting, prompts...)
+				guilty = append(guilty, tr.wait(100)...)
+			}
+			guilty = append(guilty, tr.wait(900)...)
+		}
+		if len(guilty) == 0 || guilty[0] != deadly {
+			t.Errorf("seed %d: guilty are %v", seed, guilty)
+		}
+	}
+}
