Instances write a lost quarantine one after the other

What the store would see after it was restored from a copy without an entry: as many writes in the same second as there are instances.

Cause: the time at which an instance other than the holder of the duty writes an entry counted from the quarantine, and so had passed when the store lost the entry. It now counts from when the entry is found missing.

--- a/internal/zone/quarantiner/quarantiner.go
+++ b/internal/zone/quarantiner/quarantiner.go
@@ -262,7 +262,6 @@
 	}
 	before := held.quarantined()
 	held.Round, held.Probes, held.changedAt = e.Round, e.Probes, now
-	held.writeAt = now + writeDelay + clock.Millis(rand.Int64N(int64(writeJitter)))
 	klog.InfoS("Quarantine of a prompt part", "part", e.Part, "quarantined", held.quarantined(), "round", e.Round, "probes", e.Probes, "source", source)
 	q.publish()
 	c := change{part: e.Part, quarantined: held.quarantined() && !before, released: before && !held.quarantined()}
@@ -388,47 +387,57 @@
 func (q *Quarantiner) Tick(ctx context.Context, holdsDuty bool) {
 	q.mu.Lock()
 	now := q.Clock.Now()
-	var unsaved []Entry
+	var entries []Entry
 	for _, part := range slices.Collect(maps.Keys(q.entries)) {
 		held := q.entries[part]
 		if now-held.refusedAt > retention {
 			q.drop(held)
 			continue
 		}
-		if holdsDuty || now >= held.writeAt {
-			unsaved = append(unsaved, held.Entry)
-		}
+		entries = append(entries, held.Entry)
 	}
 	q.mu.Unlock()
 	if !q.Informer.Current() || q.Informer.StoreLost() {
 		return
 	}
-	for _, e := range unsaved {
-		q.save(ctx, e)
+	for _, e := range entries {
+		q.save(ctx, e, holdsDuty)
 	}
 	if holdsDuty {
 		q.removeForgotten(ctx)
 	}
 }
 
-// save writes an entry if the store's is older.
-func (q *Quarantiner) save(ctx context.Context, e Entry) {
+// save writes an entry if the store's is older and this instance's turn has come.
+func (q *Quarantiner) save(ctx context.Context, e Entry, holdsDuty bool) {
 	object, found := q.Informer.Stored(e.Part.String())
 	var stored Entry
-	if found && json.Unmarshal(object.Value, &stored) == nil && !e.newerThan(&stored) {
-		return
+	saved := found && json.Unmarshal(object.Value, &stored) == nil && !e.newerThan(&stored)
+	if q.mayWrite(e.Part, saved, holdsDuty) {
+		q.write(ctx, e, storer.Unchanged(object, found))
 	}
+}
+
+// mayWrite reports whether it is this instance's turn to write an entry that the store lacks.
+func (q *Quarantiner) mayWrite(part crash.Part, saved, holdsDuty bool) bool {
 	q.mu.Lock()
+	defer q.mu.Unlock()
 	now := q.Clock.Now()
-	held := q.entries[e.Part]
-	waits := held == nil || now-held.triedAt < writeInterval
-	if !waits {
-		held.triedAt = now
+	held := q.entries[part]
+	switch {
+	case held == nil:
+		return false
+	case saved:
+		held.writeAt = 0
+		return false
+	case held.writeAt == 0:
+		held.writeAt = now + writeDelay + clock.Millis(rand.Int64N(int64(writeJitter)))
 	}
-	q.mu.Unlock()
-	if !waits {
-		q.write(ctx, e, storer.Unchanged(object, found))
+	if now-held.triedAt < writeInterval || !holdsDuty && now < held.writeAt {
+		return false
 	}
+	held.triedAt = now
+	return true
 }
 
 // removeForgotten deletes entries of the store that no instance holds any more.
--- a/internal/zone/quarantiner/quarantiner_test.go
+++ b/internal/zone/quarantiner/quarantiner_test.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	version ident.StoreVersion
 	objects map[string]storer.Object
+	writes  int
 }
 
 func (m *memory) storer() *storer.Storer {
@@ -26,6 +27,7 @@
 		PutFunc: func(_ context.Context, _ storer.ObjectKind, name string, value []byte, pre storer.Precondition) (ident.StoreVersion, error) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
+			m.writes++
 			held, found := m.objects[name]
 			if pre.Absent && found || pre.Match > 0 && held.Version != pre.Match {
 				return 0, fault.Newf("put object", storer.KindConflict, "%s has version %d", name, held.Version)
@@ -215,3 +217,41 @@
 		}
 	}
 }
+
+// TestLostEntryIsWrittenAgain guards against all instances writing an entry in the same second when a restored
+// store has lost it, and against nobody writing it.
+func TestLostEntryIsWrittenAgain(t *testing.T) {
+	for name, holder := range map[string]int{"by the holder of the duty": 0, "without one": -1} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(400)
+			for _, q := range f.tables {
+				q.Quarantine(part)
+			}
+			tick := func() {
+				f.now += 250
+				for n, q := range f.tables {
+					if err := q.Informer.Relist(context.Background()); err != nil {
+						t.Fatal(err)
+					}
+					q.Tick(context.Background(), n == holder)
+				}
+			}
+			for range 60 {
+				tick()
+			}
+			f.store.objects, f.store.writes = map[string]storer.Object{}, 0
+			f.store.version++
+			before := 0
+			for range 60 {
+				before = f.store.writes
+				tick()
+				if n := f.store.writes - before; n > 50 {
+					t.Errorf("%d writes in a quarter of a second", n)
+				}
+			}
+			if len(f.store.objects) != 1 {
+				t.Error("the entry is not written again")
+			}
+		})
+	}
+}
