An attempt that is given up for a quarantine says nothing about its server

What callers would see: servers that held waiting prompts with a part that goes into quarantine were avoided for a while and counted as failing, as the attempts were closed from this side and recorded as lost.

An attempt whose own context has ended is abandoned. The refusal of a part in quarantine is built outside the roster's lock.

--- a/internal/machine/host/rollout.go
+++ b/internal/machine/host/rollout.go
@@ -33,7 +33,7 @@
 		if !found || !isStored {
 			continue
 		}
-		if h.lostStatus(object, stored) {
+		if lostStatus(object, stored) {
 			h.record(ctx, stored, order)
 			continue
 		}
@@ -50,7 +50,7 @@
 }
 
 // lostStatus reports whether a restored store has lost the status of an order.
-func (h *Host) lostStatus(order, stored storer.Object) bool {
+func lostStatus(order, stored storer.Object) bool {
 	return len(order.Status) > 0 && bytes.Equal(order.Value, stored.Value) && !bytes.Equal(order.Status, stored.Status)
 }
 
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -276,8 +276,8 @@
 
 // mayRun is called while the slot is taken, as the last check before a send.
 func (x *execution) mayRun(view *curator.View) error {
-	if part, blocked := x.Quarantiner.Blocked(x.parts, x.probed); blocked {
-		return x.refuse(message.KindQuarantined, errors.Newf("servers crash under prompt part %s", part))
+	if _, blocked := x.Quarantiner.Blocked(x.parts, x.probed); blocked {
+		return errQuarantined
 	}
 	return x.recheckConfig(view)
 }
@@ -302,6 +302,9 @@
 	return nil
 }
 
+// errQuarantined means that the prompt has a part that is in quarantine.
+var errQuarantined = errors.New("servers crash under a part of the prompt")
+
 // errServiceChanged means that a newer configuration routes the request to another service.
 var errServiceChanged = errors.New("the route leads to another service")
 
@@ -318,10 +321,6 @@
 	switch kind {
 	case message.KindStopping:
 		refusal.RetryAfter = stoppingRetryAfter
-	case message.KindQuarantined:
-		if part, blocked := x.Quarantiner.Blocked(x.parts, x.probed); blocked {
-			refusal.RetryAfter = x.Quarantiner.Refuse(part)
-		}
 	case message.KindOverloaded:
 		refusal.RetryAfter = max(defaultRetryAfter, x.pause(false).RetryAfter)
 	}
@@ -361,14 +360,11 @@
 		switch {
 		case errors.Is(err, errServiceChanged):
 			continue
-		case errors.As(err, &refusal) && refusal.Kind == message.KindQuarantined:
+		case errors.Is(err, errQuarantined):
 			if x.takeProbe() {
 				continue
 			}
-			if x.mayHaveRun {
-				refusal = x.refuseUnserved(refusal.Err)
-			}
-			return nil, refusal
+			return nil, x.refuseQuarantined()
 		case errors.As(err, &refusal):
 			return nil, refusal
 		}
@@ -415,6 +411,19 @@
 	return true
 }
 
+// refuseQuarantined returns the refusal of a request whose prompt has a part in quarantine.
+func (x *execution) refuseQuarantined() *message.Refusal {
+	part, _ := x.Quarantiner.Blocked(x.parts, x.probed)
+	retryAfter := x.Quarantiner.Refuse(part)
+	err := errors.Newf("servers crash under prompt part %s", part)
+	if x.mayHaveRun {
+		return x.refuseUnserved(err)
+	}
+	refusal := x.refuse(message.KindQuarantined, err)
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
 // pause returns when the request may be sent if all servers that could take it have asked for a
 // pause or name a rate limit. queued is set if the request waits already.
 func (x *execution) pause(queued bool) roster.Pause {
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -43,10 +43,12 @@
 	// empty lines that followed it.
 	lastEventAt clock.Millis
 	idleBytes   []byte
-	// observed is the attempt's record at the Observer. cancel ends the attempt alone.
-	observed *observer.Attempt
-	cancel   context.CancelFunc
-	complete bool // the whole answer has been read
+	// observed is the attempt's record at the Observer. attemptCtx ends with the request or, by
+	// cancel, with the attempt alone.
+	observed   *observer.Attempt
+	attemptCtx context.Context
+	cancel     context.CancelFunc
+	complete   bool // the whole answer has been read
 }
 
 // verdict classifies the result of sending a request.
@@ -86,10 +88,9 @@
 			slot.MarkLeaving()
 		}
 	}
-	ctx, cancel := context.WithCancel(x.ctx)
-	t.cancel = cancel
-	t.observed = x.Observer.Start(slot.Server.Incarnation(), x.parts, cancel)
-	answer, err := x.Transporter.Send(ctx, call)
+	t.attemptCtx, t.cancel = context.WithCancel(x.ctx)
+	t.observed = x.Observer.Start(slot.Server.Incarnation(), x.parts, t.cancel)
+	answer, err := x.Transporter.Send(t.attemptCtx, call)
 	t.headLatency = x.Clock.Now() - t.started
 	if err != nil {
 		reportFirstByte(0, false)
@@ -174,17 +175,17 @@
 
 // end closes the answer, releases the slot and reports the result of the attempt.
 func (t *activeAttempt) end(result roster.Result, detail string, err error) {
-	t.observed.End(t.observedEnd(result, err))
 	if t.answer != nil {
 		t.answer.Close()
 	}
-	t.cancel()
-	if result != roster.ResultOK && t.ctx.Err() != nil {
+	if result != roster.ResultOK && t.attemptCtx.Err() != nil {
 		result = roster.ResultAbandoned
 	}
 	if t.head.Misdirected {
 		result, detail = roster.ResultUnreachable, "misdirected"
 	}
+	t.observed.End(t.observedEnd(result, err))
+	t.cancel()
 	t.slot.Release(result)
 	t.log.add(attemptRecord{server: t.slot.Server.ID, model: t.model, result: result, detail: detail, headLatency: t.headLatency, took: t.Clock.Now() - t.started})
 	if t.OnAttemptEnd != nil {
@@ -198,7 +199,7 @@
 	switch {
 	case result == roster.ResultOK && t.complete:
 		return observer.EndComplete
-	case result == roster.ResultLost && t.ctx.Err() == nil && isBroken(err):
+	case result == roster.ResultLost && isBroken(err):
 		return observer.EndBroken
 	}
 	return observer.EndOther
