Bound the parts that an instance reports in one message

Callers may invent prompts of very many parts; a message held up to 32 reports of 2,048 parts each. It now holds the last reports with 2,048 parts in all, and a report 1,024.

--- a/internal/request/observer/observer.go
+++ b/internal/request/observer/observer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -40,7 +41,8 @@
 	// Bounds of the memory that callers can make an instance use.
 	maxEndedAttempts = 512
 	maxAttemptParts  = 256
-	maxReportParts   = 2048
+	maxReportParts   = 1024
+	maxMessageParts  = 2048
 	maxClear         = 8192
 	maxReports       = 32
 )
@@ -283,17 +285,26 @@
 	return v, true
 }
 
-// Reports returns the crashes of the last seconds, with what this instance lost by them.
+// Reports returns the crashes of the last seconds, with what this instance lost by them: the last
+// ones if they are too many for a message.
 func (o *Observer) Reports() []crash.Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock.Now()
 	var reports []crash.Report
-	for _, r := range o.reports {
-		if now-r.at <= reportRetention {
-			r.Ago = now - r.at
-			reports = append(reports, r.Report)
+	parts := 0
+	for _, r := range slices.Backward(o.reports) {
+		if now-r.at > reportRetention {
+			continue
+		}
+		for _, v := range r.Victims {
+			parts += len(v.Parts)
 		}
+		if parts > maxMessageParts {
+			break
+		}
+		r.Ago = now - r.at
+		reports = append(reports, r.Report)
 	}
 	return reports
 }
@@ -356,7 +367,7 @@
 	var cancels []func()
 	for _, attempts := range o.inFlight {
 		for a := range attempts {
-			if a.begunAt == 0 && contains(a.parts, part) {
+			if a.begunAt == 0 && slices.Contains(a.parts, part) {
 				cancels = append(cancels, a.cancel)
 			}
 		}
@@ -367,15 +378,6 @@
 	}
 }
 
-func contains(parts []crash.Part, part crash.Part) bool {
-	for _, p := range parts {
-		if p == part {
-			return true
-		}
-	}
-	return false
-}
-
 // Settle clears the parts of answers that got past their beginning, and forgets what is old. Call
 // it several times a second.
 func (o *Observer) Settle() {
