--- /dev/null
+++ b/internal/request/runner/acquire.go
@@ -0,0 +1,148 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/backend"
+	"example.com/dotterelwell/internal/contract/message"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/roster"
+)
+
+// maxUnsentAttempts bounds the attempts of a request that fail before any byte is sent,
+// such as by a refused connection. They don't count against the route's MaxAttempts.
+const maxUnsentAttempts = 4
+
+// acquire takes a slot at a server. If none is free, it waits for up to slotTimeout.
+func (x *execution) acquire() (*roster.Slot, *message.Refusal) {
+	waitUntil := x.Clock.Now() + x.slotTimeout()
+	queued, endWait := false, func() {}
+	defer func() { endWait() }()
+	for {
+		freed := x.slotFreed.wait()
+		slot, err := x.Roster.Acquire(x.wantFor(x.requestedModel()))
+		if err == nil {
+			return slot, nil
+		}
+		var refusal *message.Refusal
+		switch {
+		case errors.Is(err, errServiceChanged):
+			continue
+		case errors.Is(err, errQuarantined):
+			if x.takeProbe() {
+				continue
+			}
+			return nil, x.refuseQuarantined()
+		case errors.As(err, &refusal):
+			return nil, refusal
+		}
+		left := waitUntil - x.Clock.Now()
+		poll := min(left, slotPollInterval)
+		if roster.KindOf(err) == roster.KindPaused {
+			pause := x.pause(queued)
+			if pause.Wait > left {
+				return nil, x.refuseNoSlot(err)
+			}
+			poll = min(poll, max(pause.Wait, 1))
+			if !queued {
+				queued, endWait = true, x.Roster.StartWait(x.service)
+			}
+		}
+		if left <= 0 {
+			return nil, x.refuseNoSlot(err)
+		}
+		timer := time.NewTimer(poll.Duration())
+		select {
+		case <-freed:
+		case <-timer.C:
+		case <-x.ctx.Done():
+		}
+		timer.Stop()
+		if x.ctx.Err() != nil {
+			return nil, x.contextRefusal()
+		}
+	}
+}
+
+// takeProbe reports whether a request that has not been sent yet may be sent once although its
+// prompt has a part in quarantine.
+func (x *execution) takeProbe() bool {
+	part, blocked := x.Quarantiner.Blocked(x.parts, 0)
+	if !blocked || x.probed != 0 || x.sends > 0 {
+		return false
+	}
+	if _, another := x.Quarantiner.Blocked(x.parts, part); another || !x.Quarantiner.TakeProbe(x.ctx, part) {
+		return false
+	}
+	x.probed = part
+	klog.InfoS("Request probes a prompt part in quarantine", "request", x.req.ID, "part", part)
+	return true
+}
+
+// refuseQuarantined returns the refusal of a request whose prompt has a part in quarantine.
+func (x *execution) refuseQuarantined() *message.Refusal {
+	part, _ := x.Quarantiner.Blocked(x.parts, x.probed)
+	retryAfter := x.Quarantiner.Refuse(part)
+	err := errors.Newf("servers crash under prompt part %s", part)
+	if x.mayHaveRun {
+		return x.refuseUnserved(err)
+	}
+	refusal := x.refuse(message.KindQuarantined, err)
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
+// pause returns when the request may be sent if all servers that could take it have asked for a
+// pause or name a rate limit. queued is set if the request waits already.
+func (x *execution) pause(queued bool) roster.Pause {
+	return x.Roster.Pause(x.wantFor(x.requestedModel()), queued)
+}
+
+// refuseNoSlot returns the refusal of a request that could not take a slot.
+func (x *execution) refuseNoSlot(err error) *message.Refusal {
+	switch {
+	case x.mayHaveRun:
+		return x.refuseUnserved(err)
+	case roster.KindOf(err) == roster.KindNoServer:
+		return x.refuse(message.KindNoServer, err)
+	}
+	return x.refuse(message.KindOverloaded, err)
+}
+
+// slotPollInterval is the interval at which a waiting request tries again without being
+// woken: a cold server becomes usable with time, without an event.
+const slotPollInterval clock.Millis = 100
+
+// slotTimeout is how long a request waits for a slot: a quarter of the route's first-byte
+// target, up to which an answer keeps its full value. A stream that has begun waits longer,
+// for the route's gap target. Both are at most a third of the time to the deadline.
+func (x *execution) slotTimeout() clock.Millis {
+	wait := x.route.FirstByteTarget / 4
+	if x.streamStarted {
+		wait = x.route.InterEventTarget
+	}
+	return min(wait, (x.deadline-x.Clock.Now())/3)
+}
+
+// wantFor returns the requirements on the server that is to run the request with a model.
+func (x *execution) wantFor(model declaration.ModelName) roster.Want {
+	want := roster.Want{Service: x.service, Exclude: x.excluded, MayRunFunc: x.mayRun}
+	if x.route.CacheAffine {
+		shared := x.req.SharedTokens()
+		want.SharedWork = x.Predictor.PrefillTime(model, shared)
+		want.OwnWork = x.Predictor.PrefillTime(model, max(x.req.PromptTokens-shared, 0))
+		if part := x.req.SharedPrefix(); part != "" {
+			want.SharedPart = part + "/" + string(model)
+		}
+	}
+	if x.SideFunc != nil {
+		want.SideFunc = func(order backend.Rollout) (roster.Side, bool) {
+			return x.SideFunc(order, x.req.Session, x.requestHash)
+		}
+	}
+	return want
+}
--- /dev/null
+++ b/internal/zone/quarantiner/store.go
@@ -0,0 +1,142 @@
+package quarantiner
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"example.com/dotterelwell/internal/contract/crash"
+	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/machine/clock"
+)
+
+// nextProbe returns when the next probe may be sent.
+func (s *state) nextProbe() clock.Millis {
+	if s.Probes == 0 {
+		return s.changedAt + firstProbeDelay
+	}
+	return s.changedAt + laterProbeDelay
+}
+
+// TakeProbe reports whether a request with a part may be sent as a probe. The probe is counted in
+// the store first; without the store there are no probes.
+func (q *Quarantiner) TakeProbe(ctx context.Context, part crash.Part) bool {
+	q.mu.Lock()
+	now := q.Clock.Now()
+	held := q.entries[part]
+	if held == nil || !held.quarantined() || held.Probes >= maxProbes || now < held.nextProbe() || now-held.triedAt < writeInterval {
+		q.mu.Unlock()
+		return false
+	}
+	held.triedAt = now
+	next := held.Entry
+	q.mu.Unlock()
+	next.Probes++
+	object, found := q.Informer.Stored(part.String())
+	var stored Entry
+	if !found || json.Unmarshal(object.Value, &stored) != nil || stored.Round != next.Round || stored.Probes != next.Probes-1 {
+		return false // the store's entry is not the one that this instance knows
+	}
+	if !q.write(ctx, next, storer.Unchanged(object, true)) {
+		return false
+	}
+	q.mergeAll([]Entry{next}, "own probe")
+	return true
+}
+
+// write writes an entry to the store and reports whether that succeeded.
+func (q *Quarantiner) write(ctx context.Context, e Entry, pre storer.Precondition) bool {
+	value, err := json.Marshal(e)
+	if err != nil {
+		klog.ErrorS(err, "Quarantine cannot be encoded", "part", e.Part)
+		return false
+	}
+	version, err := q.Store.Put(ctx, ObjectKind, e.Part.String(), value, pre)
+	if err != nil {
+		klog.InfoS("Quarantine is not written", "part", e.Part, "round", e.Round, "probes", e.Probes, "err", err)
+		return false
+	}
+	klog.InfoS("Quarantine is written", "part", e.Part, "round", e.Round, "probes", e.Probes, "revision", version)
+	return true
+}
+
+// Tick forgets old entries and writes those that the store lacks. holdsDuty is set at the instance
+// that writes first.
+func (q *Quarantiner) Tick(ctx context.Context, holdsDuty bool) {
+	q.mu.Lock()
+	now := q.Clock.Now()
+	var entries []Entry
+	for _, part := range slices.Collect(maps.Keys(q.entries)) {
+		held := q.entries[part]
+		if now-held.refusedAt > retention {
+			q.drop(held)
+			continue
+		}
+		entries = append(entries, held.Entry)
+	}
+	q.mu.Unlock()
+	if !q.Informer.Current() || q.Informer.StoreLost() {
+		return
+	}
+	for _, e := range entries {
+		q.save(ctx, e, holdsDuty)
+	}
+	if holdsDuty {
+		q.removeForgotten(ctx)
+	}
+}
+
+// save writes an entry if the store's is older and this instance's turn has come.
+func (q *Quarantiner) save(ctx context.Context, e Entry, holdsDuty bool) {
+	object, found := q.Informer.Stored(e.Part.String())
+	var stored Entry
+	saved := found && json.Unmarshal(object.Value, &stored) == nil && !e.newerThan(&stored)
+	if q.mayWrite(e.Part, saved, holdsDuty) {
+		q.write(ctx, e, storer.Unchanged(object, found))
+	}
+}
+
+// mayWrite reports whether it is this instance's turn to write an entry that the store lacks.
+func (q *Quarantiner) mayWrite(part crash.Part, saved, holdsDuty bool) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Clock.Now()
+	held := q.entries[part]
+	switch {
+	case held == nil:
+		return false
+	case saved:
+		held.writeAt = 0
+		return false
+	case held.writeAt == 0:
+		held.writeAt = now + writeDelay + clock.Millis(rand.Int64N(int64(writeJitter)))
+	}
+	if now-held.triedAt < writeInterval || !holdsDuty && now < held.writeAt {
+		return false
+	}
+	held.triedAt = now
+	return true
+}
+
+// removeForgotten deletes entries of the store that no instance holds any more.
+func (q *Quarantiner) removeForgotten(ctx context.Context) {
+	for _, o := range q.Informer.Objects() {
+		var e Entry
+		if json.Unmarshal(o.Value, &e) != nil {
+			continue
+		}
+		q.mu.Lock()
+		held := q.entries[e.Part]
+		q.mu.Unlock()
+		if held != nil {
+			continue
+		}
+		err := q.Store.Delete(ctx, ObjectKind, o.Name, storer.Unchanged(o, true))
+		klog.InfoS("Tried to remove a forgotten quarantine", "part", e.Part, "revision", o.Version, "removed", err == nil, "err", err)
+		return // one in each tick
+	}
+}
