Entries of dead servers in a restored store are left out by the platform's heartbeat

They were left out for 5 s, which fits a heartbeat of 1.2 s. With a longer one the entry of a dead server would outlast that and get requests.

--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -49,20 +49,37 @@
 		OnFetched:        func(storer.ObjectKind) { h.Gossiper.SendToNeighbours(context.Background()) },
 		OnHistoryExpired: h.restartWatches,
 		OnRestored:       h.noteRestored,
-		KeepTimes:        keepTimes[kind],
+		KeepTimes:        h.keepTimes(kind),
 	}
 	h.informers[kind] = i
 	return i
 }
 
+const (
+	// lapseHeartbeats is the number of heartbeats without a write after which the platform removes a
+	// server's entry, and lapseMargin the time that it takes.
+	lapseHeartbeats              = 3
+	lapseMargin     clock.Millis = 1400
+)
+
 // keepTimes bounds how long objects are kept that a restored store lacks. A live server writes its
-// entry within about two seconds, and the platform removes that of a dead one within four. A zone may
-// be taken out of service again although the store holds that order already. Instances write their
-// entries one after the other.
-var keepTimes = map[storer.ObjectKind]informer.KeepTimes{
-	platform.ServerKind:     {Missing: 2 * clock.Second, Returned: 5 * clock.Second},
-	platform.EvacuationKind: {Returned: 3 * clock.Second},
-	enlister.ObjectKind:     {Missing: 30 * clock.Second},
+// entry within about two seconds, and that of a dead one lapses. A zone may be taken out of service
+// again although the store holds that order already. Instances write their entries one after the
+// other.
+func (h *Host) keepTimes(kind storer.ObjectKind) informer.KeepTimes {
+	switch kind {
+	case platform.ServerKind:
+		times := informer.KeepTimes{Missing: 2 * clock.Second}
+		if h.Profile.Heartbeat > 0 {
+			times.Returned = lapseHeartbeats*h.Profile.Heartbeat + lapseMargin
+		}
+		return times
+	case platform.EvacuationKind:
+		return informer.KeepTimes{Returned: 3 * clock.Second}
+	case enlister.ObjectKind:
+		return informer.KeepTimes{Missing: 30 * clock.Second}
+	}
+	return informer.KeepTimes{}
 }
 
 // noteRestored makes the watches of all other kinds list their objects, when one of them has found
--- a/internal/machine/profile/profile.go
+++ b/internal/machine/profile/profile.go
@@ -71,6 +71,8 @@
 	Descriptors int
 	// CPUShare is the part of a core that the process may use.
 	CPUShare float64
+	// Heartbeat is the time between two writes of a server's entry; zero if the settings tell none.
+	Heartbeat clock.Millis
 	// LinkMbps is the bandwidth of the process's machine, in megabits a second.
 	LinkMbps float64
 	Bounds   Bounds
