A roll-out that has ended does not begin anew when its lost order is written again

What callers would see: after a restore of the store that lost a completed roll-out's order, the order counted as open as soon as the operator wrote it again, and sessions were split between releases once more.

Cause: the copy kept the status that the store had lost, and the change that it reported had none.

--- a/internal/zone/informer/merge.go
+++ b/internal/zone/informer/merge.go
@@ -58,9 +58,13 @@
 	for _, o := range u.Objects {
 		o.Era = u.Era
 		listed[o.Name] = true
-		if i.mergeOne(o) {
-			changed = append(changed, o)
+		if !i.mergeOne(o) {
+			continue
+		}
+		if held, found := i.objects[o.Name]; found {
+			o = held // with a status that the store has lost
 		}
+		changed = append(changed, o)
 	}
 	if u.Whole {
 		changed = append(changed, i.removeUnlisted(listed, u.Version)...)
