--- a/internal/zone/quarantiner/quarantiner_test.go
+++ b/internal/zone/quarantiner/quarantiner_test.go
@@ -229,10 +229,12 @@
 			}
 			tick := func() {
 				f.now += 250
-				for n, q := range f.tables {
+				for _, q := range f.tables {
 					if err := q.Informer.Relist(context.Background()); err != nil {
 						t.Fatal(err)
 					}
+				}
+				for n, q := range f.tables { // all of them act on what the store held before
 					q.Tick(context.Background(), n == holder)
 				}
 			}
