--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -19,9 +19,11 @@
 const (
 	heartbeat = 1200 * time.Millisecond
 	graceS    = 8
-	host      = "ficu95.example"
-	apiKey    = "n2ctnfzs989anu6wsjnb"
-	tenant    = "hule930"
+	// contactTime is contact_ms of the settings.
+	contactTime = 3 * time.Second
+	host        = "ficu95.example"
+	apiKey      = "n2ctnfzs989anu6wsjnb"
+	tenant      = "hule930"
 )
 
 // couldNotRun ends a case that could not be played, with exit code 2.
@@ -37,12 +39,15 @@
 	servers      []*server
 	nodes        []*node
 
-	mu      sync.Mutex
-	out     *os.File
-	began   time.Time
-	runs    map[string][]string // servers that ran an attempt
-	onRun   func(server, attempt string, r *http.Request)
-	onStart func(n *node, cmd *exec.Cmd)
+	mu    sync.Mutex
+	out   *os.File
+	began time.Time
+	runs  map[string][]string // servers that ran an attempt
+	onRun func(server, attempt string, r *http.Request)
+	// serve, if set, answers a request at a server in place of its work; it returns false for others.
+	serve func(server string, w http.ResponseWriter, r *http.Request) bool
+	// link, if set, reports whether the link between an instance and the servers passes a request on.
+	link func(r *http.Request) bool
 }
 
 func (l *lab) must(err error) {
@@ -272,7 +277,7 @@
 		}
 	}
 	l.record("all instances are ready")
-	time.Sleep(3 * time.Second) // contact_ms
+	time.Sleep(contactTime)
 }
 
 // close ends all processes that the lab has started.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,8 @@
 	"reload-while-stopping": reloadWhileStopping,
 	"slow-reader":           slowReader,
 	"double-slash":          doubleSlash,
+	"brittle-servers":       brittleServers,
+	"cut-off":               cutOff,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -30,6 +30,17 @@
 
 	mu       sync.Mutex
 	sequence int
+	crashed  bool
+}
+
+// crash ends a server at once. Its entry lapses after three heartbeats.
+func (l *lab) crash(s *server) {
+	s.mu.Lock()
+	s.crashed = true
+	s.mu.Unlock()
+	_ = s.http.Close() // it may be closed already
+	time.Sleep(3 * heartbeat)
+	l.store.remove("servers", s.id)
 }
 
 func (l *lab) addServer(id, service, zone string, workFor func(r *http.Request) work) *server {
@@ -58,12 +69,22 @@
 func (s *server) beat() {
 	for {
 		time.Sleep(heartbeat)
+		s.mu.Lock()
+		crashed := s.crashed
+		s.mu.Unlock()
+		if crashed {
+			return
+		}
 		s.lab.store.beat("servers", s.id, s.entry())
 	}
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get("X-Attempt-Id")
+	if s.lab.link != nil && !s.lab.link(r) {
+		resetLink(w)
+		return
+	}
 	w.Header().Set("X-Instance-Id", s.id)
 	if r.URL.Path == "/healthz" {
 		return
@@ -77,6 +98,9 @@
 		s.lab.record("server %s: request %s was not read whole: %v", s.id, attempt, err)
 		return
 	}
+	if s.lab.serve != nil && s.lab.serve(s.id, w, r) {
+		return
+	}
 	s.lab.noteRun(s.id, attempt, r, len(body))
 	todo := s.workFor(r)
 	w.Header().Set("X-Attempt-Id", attempt)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -82,6 +82,19 @@
 	}
 }
 
+// remove removes an object, as the platform does with a server's entry that has lapsed.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.objects[kind][name]
+	if held == nil {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	s.record(storeEvent{kind: kind, revision: s.revision, object: *held, gone: true})
+}
+
 // write stores an object under the next revision. The lock must be held.
 func (s *store) write(kind string, o object) object {
 	s.revision++
