--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -110,7 +110,7 @@
 	if todo.events == 0 {
 		_, err = io.WriteString(w, wholeBody(attempt, todo.bytes))
 	} else {
-		err = s.stream(w, r, attempt, todo)
+		err = s.stream(w, r, todo)
 	}
 	if err != nil {
 		s.lab.record("server %s: answer to %s ended early: %v", s.id, attempt, err)
@@ -119,7 +119,7 @@
 	s.lab.record("server %s: %s has ended well", s.id, attempt)
 }
 
-func (s *server) stream(w http.ResponseWriter, r *http.Request, attempt string, todo work) error {
+func (s *server) stream(w http.ResponseWriter, r *http.Request, todo work) error {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 0
 	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &first) // no header: from the start
