Instances without links to servers connect through peers

Cause: an instance had no way to a server but its own connections, and learned of the cut from callers' requests only, at one second each.

If a peer connects, the link is lost, and connections go through peers (package tunneler) until a direct one succeeds (pathfinder); which peer, package selector chooses by what peers report. The request stays at its instance, so that what holds for a request holds over the hop. The peer opens direct connections only. What an instance sees over lost links is no evidence in a roll-out, and confirms no crash while a peer connects. Pauses that servers ask for through a peer are told to the peers, since a server means the instance that it sees.

--- a/internal/link/connector/codec.go
+++ b/internal/link/connector/codec.go
@@ -35,6 +35,7 @@
 type codec struct {
 	conn    io.ReadWriteCloser
 	limited *boundedReader
+	in      *bufio.Reader
 	dec     *gob.Decoder
 	enc     *gob.Encoder
 	out     *bufio.Writer
@@ -42,8 +43,8 @@
 
 func newCodec(conn io.ReadWriteCloser) *codec {
 	limited := &boundedReader{r: conn, left: MaxMessageBytes}
-	out := bufio.NewWriter(conn)
-	return &codec{conn: conn, limited: limited, dec: gob.NewDecoder(bufio.NewReader(limited)), enc: gob.NewEncoder(out), out: out}
+	in, out := bufio.NewReader(limited), bufio.NewWriter(conn)
+	return &codec{conn: conn, limited: limited, in: in, dec: gob.NewDecoder(in), enc: gob.NewEncoder(out), out: out}
 }
 
 func (c *codec) readHead(head any) error {
@@ -67,7 +68,7 @@
 
 type serverCodec struct{ *codec }
 
-func newServerCodec(conn io.ReadWriteCloser) rpc.ServerCodec { return serverCodec{newCodec(conn)} }
+func newServerCodec(conn io.ReadWriteCloser) serverCodec { return serverCodec{newCodec(conn)} }
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHead(r) }
 
--- a/internal/link/connector/connector.go
+++ b/internal/link/connector/connector.go
@@ -52,6 +52,9 @@
 	ClientTLS, ServerTLS *tls.Config
 	// DialFunc replaces opening TCP connections.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+	// StreamFuncs serve the accepted connections whose first call is a method that opens a stream. The
+	// connection is closed when the function returns.
+	StreamFuncs map[string]func(*Stream)
 	// Traffic counts the bytes of all connections.
 	Traffic Traffic
 
@@ -194,7 +197,7 @@
 	if err := authenticate(conn, c.Key, roleServer); err != nil {
 		return
 	}
-	server.ServeCodec(newServerCodec(conn))
+	c.serveCalls(conn, server)
 }
 
 // Close closes all connections and waits until those that were accepted are no longer
--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -143,6 +143,15 @@
 	g.spreadTo(ctx, g.PeersFunc())
 }
 
+// SendTo starts an exchange of messages with one peer, without waiting for the reply.
+func (g *Gossiper) SendTo(ctx context.Context, instance ident.Instance) {
+	for _, p := range g.PeersFunc() {
+		if p.Instance == instance {
+			g.spreadTo(ctx, []Peer{p})
+		}
+	}
+}
+
 func (g *Gossiper) spreadTo(ctx context.Context, peers []Peer) {
 	message := g.message()
 	for _, p := range peers {
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -6,6 +6,7 @@
 	"example.com/dotterelwell/internal/contract/crash"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/link/packer"
+	"example.com/dotterelwell/internal/link/tunneler"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/machine/roster"
@@ -57,6 +58,11 @@
 	Departing []backend.Incarnation
 	// Limits holds what the sender knows of the rate limits that servers name.
 	Limits []roster.LimitReport
+	// Tunnels tells whether the sender carries connections to servers for its peers. Builds without
+	// tunnels leave it zero.
+	Tunnels tunneler.Report
+	// Pauses holds the pauses that servers asked for in answers which came through peers.
+	Pauses []roster.PauseReport
 	// Crashes holds the crashes of servers that the sender has noticed lately.
 	Crashes []crash.Report
 	// Inquiry asks the recipient about crashes of servers. Only instances that collect the reports
--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -24,6 +24,7 @@
 
 	"example.com/dotterelwell/internal/link/dialer"
 	"example.com/dotterelwell/internal/link/inspector"
+	"example.com/dotterelwell/internal/link/tunneler"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -90,6 +91,9 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	reused    bool
+	// via is the peer through which the connection goes; empty for a direct one. The peer decides
+	// on each request whether it carries it, so such a connection is not reused.
+	via ident.Instance
 	// expiresAt is when the connection, while idle, may no longer be reused.
 	expiresAt clock.Millis
 }
@@ -98,6 +102,9 @@
 type Call struct {
 	Address ident.Address
 	Request *http.Request
+	// RequestFunc, when set, builds the request once there is a connection, in place of Request. via
+	// is the peer through which the connection goes; empty for a direct one.
+	RequestFunc func(via ident.Instance) *http.Request
 	// Fresh opens a new connection, for requests that must not fail because the server
 	// has closed a pooled one.
 	Fresh bool
@@ -132,6 +139,9 @@
 	if err != nil {
 		return nil, fault.New(op, KindNotSent, err)
 	}
+	if call.RequestFunc != nil {
+		call.Request = call.RequestFunc(c.via)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // closing unblocks all reads and writes
 	resp, err := roundTrip(c, call)
 	if err == nil {
@@ -233,8 +243,8 @@
 }
 
 func (t *Transporter) putIdle(a *Answer, idleTimeout clock.Millis) {
-	if idleTimeout <= 0 || a.maxIdle < 1 {
-		_ = a.conn.Close() // the server would close it at once, or the call allows no idle connection
+	if idleTimeout <= 0 || a.maxIdle < 1 || a.conn.via != "" {
+		_ = a.conn.Close() // the server would close it at once, or no idle connection is allowed
 		return
 	}
 	a.conn.reused = true
@@ -270,6 +280,9 @@
 	}
 	c := &conn{Conn: raw, inspector: inspector.Inspector{Source: raw}, writer: bufio.NewWriterSize(raw, bufferBytes)}
 	c.reader = bufio.NewReaderSize(&c.inspector, bufferBytes)
+	if tunnel, ok := raw.(*tunneler.Conn); ok {
+		c.via = tunnel.Peer
+	}
 	return c, nil
 }
 
@@ -315,6 +328,16 @@
 	}
 }
 
+// DropIdle closes the idle connections to an address.
+func (t *Transporter) DropIdle(address ident.Address) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.idle[address] {
+		_ = c.Close() // it may be closed already
+	}
+	delete(t.idle, address)
+}
+
 // Close closes all idle connections.
 func (t *Transporter) Close() {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/link/tunneler/tunneler.go
@@ -0,0 +1,202 @@
+// Package tunneler opens connections to backend servers through peers, and carries such
+// connections for peers. The router at the one end and the server at the other speak with each
+// other; the peer between them passes bytes on.
+package tunneler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"example.com/dotterelwell/internal/link/connector"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/fault"
+	"example.com/dotterelwell/internal/machine/ident"
+)
+
+// Kind classifies the package's errors.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindNoPeer means that the peer could not be reached, did not answer in time, or is of a build
+	// without tunnels.
+	KindNoPeer Kind = "no-peer"
+	// KindNotCarried means that the peer doesn't carry a tunnel to the server now. It tells nothing
+	// about the server.
+	KindNotCarried Kind = "not-carried"
+	// KindServerRefused means that the server refused the peer's connection.
+	KindServerRefused Kind = "server-refused"
+	// KindServerSilent means that the peer's connection to the server timed out.
+	KindServerSilent Kind = "server-silent"
+)
+
+// Error is the package's error type.
+type Error = fault.Error[Kind]
+
+// KindOf returns the kind of the error, or "" for an error of another package.
+func KindOf(err error) Kind { return fault.KindOf[Kind](err) }
+
+// OpenMethod is the net/rpc method that opens a tunnel.
+const OpenMethod = "tunnel.Open"
+
+const (
+	// OpenTimeout bounds the opening of a tunnel.
+	OpenTimeout clock.Millis = 600
+	// serverTimeout bounds the peer's connection to the server. It is shorter than OpenTimeout, so
+	// that the peer can tell that the server is silent.
+	serverTimeout clock.Millis = 400
+	// bufferBytes is the size of each buffer between the two connections of a tunnel.
+	bufferBytes = 4 << 10
+	// MemoryBytes is about how much memory a tunnel takes at the peer that carries it.
+	MemoryBytes = 32 << 10
+	// MaxReferrals bounds the instances that a message names as carrying tunnels.
+	MaxReferrals = 16
+)
+
+// OpenArgs are the arguments of the call that opens a tunnel.
+type OpenArgs struct {
+	From   ident.Instance
+	Server ident.Address
+}
+
+// OpenReply is the reply to the call that opens a tunnel. The tunnel is open if Failure is empty.
+type OpenReply struct {
+	Failure Kind
+	Reason  string
+	// Carriers names other instances that carry tunnels, as far as the called one knows.
+	Carriers []ident.Instance
+}
+
+// Report is what an instance tells its peers about tunnels. The zero value is that of a build
+// without them.
+type Report struct {
+	// Carries is set if the instance carries tunnels, of which it has Carried now.
+	Carries bool
+	Carried int
+	// CutOff is set while the instance is cut off from servers itself. Carriers then names instances
+	// that carry its tunnels.
+	CutOff   bool
+	Carriers []ident.Instance
+}
+
+// Tunneler opens and carries tunnels. Set the exported fields before use.
+type Tunneler struct {
+	Instance  ident.Instance
+	Connector *connector.Connector
+	// DialFunc opens a connection to a server, directly and never through a peer. It may return an
+	// Error, which the peer then gets.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+	// MayCarryFunc, when set, returns why no tunnel to a server may be carried now.
+	MayCarryFunc func(server ident.Address) error
+	// CarriersFunc, when set, returns instances to name to a peer whose tunnel is not carried.
+	CarriersFunc func() []ident.Instance
+	// Limit bounds the tunnels that are carried at a time.
+	Limit int
+
+	mu      sync.Mutex
+	carried int
+}
+
+// Carried returns the number of tunnels that this instance carries.
+func (t *Tunneler) Carried() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.carried
+}
+
+// Full reports whether this instance has no room for another tunnel.
+func (t *Tunneler) Full() bool { return t.Carried() >= t.Limit }
+
+// Open opens a connection to a server through the peer at an address. carriers names other peers
+// that the peer knows to carry tunnels; it may be set with an error.
+func (t *Tunneler) Open(ctx context.Context, peer ident.Instance, at, server ident.Address) (conn *Conn, carriers []ident.Instance, err error) {
+	const op = "open tunnel"
+	ctx, cancel := context.WithTimeout(ctx, OpenTimeout.Duration())
+	defer cancel()
+	var reply OpenReply
+	stream, err := t.Connector.OpenStream(ctx, at, OpenMethod, OpenArgs{From: t.Instance, Server: server}, &reply)
+	if err != nil {
+		return nil, nil, fault.New(op, KindNoPeer, err)
+	}
+	carriers = reply.Carriers[:min(len(reply.Carriers), MaxReferrals)]
+	if reply.Failure != "" {
+		_ = stream.Close() // the reply is the result
+		return nil, carriers, fault.Newf(op, reply.Failure, "peer %s: %s", peer, reply.Reason)
+	}
+	return newConn(stream, peer), carriers, nil
+}
+
+// Carry serves a stream that a peer has opened: it connects to the server and passes bytes on until
+// one side ends. It returns when the tunnel has ended.
+func (t *Tunneler) Carry(stream *connector.Stream) {
+	var args OpenArgs
+	if err := stream.ReadArgs(&args); err != nil {
+		klog.InfoS("Tunnel cannot be opened", "err", err)
+		return
+	}
+	server, err := t.connect(args)
+	if err != nil {
+		reply := OpenReply{Failure: KindOf(err), Reason: err.Error()}
+		if t.CarriersFunc != nil {
+			reply.Carriers = t.CarriersFunc()
+		}
+		klog.InfoS("Tunnel is not carried", "peer", args.From, "address", args.Server, "err", err)
+		_ = stream.Reply(&reply) // the peer finds out by its time-out
+		return
+	}
+	defer t.release()
+	defer server.Close()
+	if err := stream.Reply(&OpenReply{}); err != nil {
+		return
+	}
+	began := time.Now()
+	end := pass(newConn(stream, args.From), server)
+	klog.V(1).InfoS("Tunnel ended", "peer", args.From, "address", args.Server, "took-ms", time.Since(began).Milliseconds(), "end", end)
+}
+
+// connect takes room for a tunnel and connects to the server.
+func (t *Tunneler) connect(args OpenArgs) (net.Conn, error) {
+	const op = "carry tunnel"
+	if t.MayCarryFunc != nil {
+		if err := t.MayCarryFunc(args.Server); err != nil {
+			return nil, fault.New(op, KindNotCarried, err)
+		}
+	}
+	t.mu.Lock()
+	if t.carried >= t.Limit {
+		t.mu.Unlock()
+		return nil, fault.Newf(op, KindNotCarried, "%d tunnels are carried already", t.Limit)
+	}
+	t.carried++
+	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), serverTimeout.Duration())
+	defer cancel()
+	server, err := t.DialFunc(ctx, "tcp", string(args.Server))
+	if err == nil {
+		return server, nil
+	}
+	t.release()
+	if KindOf(err) != "" {
+		return nil, err
+	}
+	if isTimeout(err) {
+		return nil, fault.New(op, KindServerSilent, err)
+	}
+	return nil, fault.New(op, KindServerRefused, err)
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func (t *Tunneler) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.carried--
+}
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -19,8 +19,11 @@
 	"example.com/dotterelwell/internal/link/dialer"
 	"example.com/dotterelwell/internal/link/gossiper"
 	"example.com/dotterelwell/internal/link/hasher"
+	"example.com/dotterelwell/internal/link/pathfinder"
+	"example.com/dotterelwell/internal/link/selector"
 	"example.com/dotterelwell/internal/link/sweeper"
 	"example.com/dotterelwell/internal/link/transporter"
+	"example.com/dotterelwell/internal/link/tunneler"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -88,6 +91,9 @@
 	Gossiper    *gossiper.Gossiper
 	Connector   *connector.Connector
 	Transporter *transporter.Transporter
+	Pathfinder  *pathfinder.Pathfinder
+	Tunneler    *tunneler.Tunneler
+	Selector    *selector.Selector
 	Runner      *runner.Runner
 	Observer    *observer.Observer
 	Attributor  *attributor.Attributor
@@ -142,6 +148,7 @@
 	h.Store = platform.NewStorer(p.StoreAddress, client, storeTimeout)
 	h.tallier = &tallier.Tallier{Clock: h.Clock, Owner: ident.NewIncarnation(p.Instance, h.Clock.Now())}
 	h.wireZone()
+	h.wireTunnels()
 	h.wireCrashes()
 	h.wireLinks()
 	h.wireRequests()
@@ -177,7 +184,6 @@
 
 func (h *Host) wireLinks() {
 	h.accountant = &accountant.Accountant{Clock: h.Clock, Instance: h.Profile.Instance, Zone: h.Profile.Zone}
-	h.Connector = &connector.Connector{DialFunc: h.outside.DialFunc}
 	h.Gossiper = &gossiper.Gossiper{
 		Clock: h.Clock, Instance: h.Profile.Instance, Zone: h.Profile.Zone, Strength: h.Profile.Strength(), Incarnation: h.tallier.Owner,
 		Connector: h.Connector, PeersFunc: h.Enlister.Peers, Watchers: watchers, ZoneWatchers: zoneWatchers, WatchedKind: platform.RoutingKind, DutyKind: platform.RolloutKind,
@@ -197,6 +203,7 @@
 	}
 	return gossiper.Message{
 		Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing(), Limits: h.Roster.LimitReports(),
+		Tunnels: h.tunnelReport(), Pauses: h.Roster.PauseReports(),
 		Crashes: h.Observer.Reports(), Inquiry: h.inquiry(), Cleared: h.Observer.Cleared(), Quarantine: h.Quarantiner.Entries(),
 	}
 }
@@ -212,13 +219,15 @@
 	}
 	h.Roster.MergeDeparting(n.Departing)
 	h.Roster.MergeLimits(n.Limits)
+	h.Roster.MergePauses(n.Pauses)
+	h.Selector.Merge(n.From, n.Tunnels)
 	h.Stager.Merge(n.Stages)
 	h.mergeCrashes(n)
 }
 
 func (h *Host) wireRequests() {
 	h.bufferer = &bufferer.Bufferer{Limit: int64(bodyPart * float64(h.Profile.MemoryBytes))}
-	h.Transporter = &transporter.Transporter{Clock: h.Clock, DialFunc: h.outside.DialFunc}
+	h.Transporter = &transporter.Transporter{Clock: h.Clock, DialFunc: h.Pathfinder.DialContext}
 	h.Meter.Gauge("unreachable_servers", "Backend servers that this instance has failed to connect to and has not reached since.", func() float64 { return float64(h.Roster.Unreachable()) })
 	routes := h.informers[platform.RoutingKind]
 	h.Sweeper = &sweeper.Sweeper{Clock: h.Clock, LimitFunc: func() clock.Millis { return h.limits().IdleTimeout }}
@@ -228,7 +237,7 @@
 		ConfigCurrentFunc: routes.Current, StateLoadedFunc: h.informed, StopsBeforeFunc: h.stopsBefore,
 		SideFunc: h.Stager.Side, RetryBudgetFunc: h.budget, MaxIdleConnsFunc: h.maxIdle, OnAttemptEnd: h.noteAnswer, OnRequestEnd: h.noteEnd,
 		OnOverrun:      func(bound string) { h.Meter.Overruns.WithLabelValues(bound).Inc() },
-		OnAttemptStart: h.noteWait, OnInterEventLatency: h.notePace, OnSent: h.Stager.PinSession,
+		OnAttemptStart: h.noteWait, OnInterEventLatency: h.notePace, OnSent: h.Stager.PinSession, OnPeerAdvised: h.noteAdvice,
 	}
 }
 
@@ -301,8 +310,10 @@
 	switch o.Result {
 	case roster.ResultOK:
 		h.Stager.RecordAnswer(o.Service, o.Release, o.Route.Name)
-	case roster.ResultError, roster.ResultLost:
+	case roster.ResultError:
 		h.Stager.RecordFailure(o.Service, o.Release, o.Route.Name)
+	case roster.ResultLost:
+		h.noteLoss(o)
 	}
 }
 
@@ -312,7 +323,8 @@
 	if a.Route.CacheAffine {
 		kind = stager.DelayPrompt
 	}
-	return h.Stager.TrackFirstByte(a.Service, a.Release, kind, a.Route.Name, a.Model)
+	reached := func() bool { return !h.Pathfinder.IsLost(a.Server) }
+	return h.Stager.TrackFirstByte(a.Service, a.Release, kind, a.Route.Name, a.Model, reached)
 }
 
 // notePace counts a stream's pace for the roll-outs.
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -120,24 +120,27 @@
 		return nil
 	}
 	h.draining.Store(true)
-	klog.InfoS("Instance is draining", "instance", h.Profile.Instance, "in-flight", h.inFlight.Load())
+	klog.InfoS("Instance is draining", "instance", h.Profile.Instance, "in-flight", h.inFlight.Load(), "tunnels", h.Tunneler.Carried())
 	began := h.Clock.Now()
 	cutAt := began + clock.Millis(cutPart*float64(h.currentBounds().Grace))
 	h.stopAt.Store(int64(cutAt))
 	h.stopFrom.Store(int64(began + acceptSpan))
 	h.wait(func(now clock.Millis) bool {
-		return now >= cutAt || now-began >= acceptSpan+quietSpan && h.inFlight.Load() == 0
+		return now >= cutAt || now-began >= acceptSpan+quietSpan && h.idle()
 	})
 	// From here on every request is refused, so that none is sent to a server that this
 	// instance would not wait for.
 	h.stopAt.Store(int64(min(cutAt, h.Clock.Now())))
-	h.wait(func(now clock.Millis) bool { return now >= cutAt || h.inFlight.Load() == 0 })
-	klog.InfoS("Instance stops", "instance", h.Profile.Instance, "streams-cut", h.inFlight.Load(), "after-ms", h.Clock.Now()-began)
+	h.wait(func(now clock.Millis) bool { return now >= cutAt || h.idle() })
+	klog.InfoS("Instance stops", "instance", h.Profile.Instance, "streams-cut", h.inFlight.Load(), "tunnels-cut", h.Tunneler.Carried(), "after-ms", h.Clock.Now()-began)
 	cutRequests()
 	time.Sleep((tickEvery / 5).Duration())
 	return nil
 }
 
+// idle reports whether this instance has no request in flight, of its own callers or of peers.
+func (h *Host) idle() bool { return h.inFlight.Load() == 0 && h.Tunneler.Carried() == 0 }
+
 // wait waits until a condition holds, looking a few times after it first does: requests
 // that were being read have then been counted.
 func (h *Host) wait(done func(now clock.Millis) bool) {
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -214,21 +214,29 @@
 	return 0
 }
 
-// preferHealthy removes the servers from scratch that are in backoff, full or failing, if
-// others remain.
+// preferHealthy removes the servers from scratch that are in backoff, full or failing, and then those
+// that are only reached through peers, if others remain.
 func (r *Roster) preferHealthy(now clock.Millis) {
-	healthy := 0
+	r.prefer(func(w *row) bool {
+		return now >= w.backoffUntil && now >= w.fullUntil && w.failureShare(now) < failingShare
+	})
+	if r.LostFunc != nil {
+		r.prefer(func(w *row) bool { return !r.LostFunc(w.info.Address) })
+	}
+}
+
+// prefer removes the servers from scratch that are not preferred, if others remain.
+func (r *Roster) prefer(preferred func(w *row) bool) {
+	n := 0
 	for _, w := range r.scratch {
-		if now >= w.backoffUntil && now >= w.fullUntil && w.failureShare(now) < failingShare {
-			healthy++
+		if preferred(w) {
+			n++
 		}
 	}
-	if healthy == 0 || healthy == len(r.scratch) {
+	if n == 0 || n == len(r.scratch) {
 		return
 	}
-	r.scratch = slices.DeleteFunc(r.scratch, func(w *row) bool {
-		return now < w.backoffUntil || now < w.fullUntil || w.failureShare(now) >= failingShare
-	})
+	r.scratch = slices.DeleteFunc(r.scratch, func(w *row) bool { return !preferred(w) })
 }
 
 // Work returns the estimated work of the request at the server, in milliseconds.
--- a/internal/machine/roster/advice.go
+++ b/internal/machine/roster/advice.go
@@ -5,6 +5,8 @@
 
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/fault"
+	"example.com/dotterelwell/internal/machine/ident"
 )
 
 // ServerStatus is what the head of a server's answer says about the server.
@@ -16,6 +18,8 @@
 	// RetryAfter is how long the server wants no requests from this instance; zero if the
 	// server did not ask for a pause.
 	RetryAfter clock.Millis
+	// ThroughPeer is set when the answer came through a peer, which the server means by RetryAfter.
+	ThroughPeer bool
 	// RateLimit is the limit that the server names for the requests of all instances together.
 	RateLimit backend.RateLimit
 	// Served is set when the server has served the request, so that an answer without a rate
@@ -49,6 +53,7 @@
 	if status.RetryAfter > 0 {
 		jitter := r.randIntN(int(retryJitter*float64(status.RetryAfter)) + 1)
 		s.row.pausedUntil = max(s.row.pausedUntil, now+status.RetryAfter+clock.Millis(jitter))
+		s.row.peersPaused = s.row.peersPaused || status.ThroughPeer
 		klog.InfoS("Server asks for a pause", "server", s.row.info.ID, "retry-after-ms", status.RetryAfter, "left-alone-ms", s.row.pausedUntil-now)
 	}
 	if s.trial {
@@ -61,7 +66,7 @@
 func (s *Slot) endTrial(accepted bool) {
 	s.trial, s.row.trial = false, false
 	if accepted && s.roster.Clock.Now() >= s.row.pausedUntil {
-		s.row.pausedUntil = 0
+		s.row.pausedUntil, s.row.peersPaused = 0, false
 	}
 }
 
@@ -131,3 +136,61 @@
 func (w *row) paused(now clock.Millis) bool {
 	return w.pausedUntil > 0 && (now < w.pausedUntil || w.trial)
 }
+
+// maxPauseReports bounds the reports on pauses in one message to a peer.
+const maxPauseReports = 256
+
+// PauseReport tells a peer that a server wants no requests for a while, as it said in an answer that
+// came through that peer or another one.
+type PauseReport struct {
+	Server backend.Incarnation
+	Left   clock.Millis
+}
+
+// PauseReports returns the pauses that servers have asked for in answers that came through peers.
+func (r *Roster) PauseReports() []PauseReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	var reports []PauseReport
+	for _, w := range r.rows {
+		if w.peersPaused && w.pausedUntil > now && len(reports) < maxPauseReports {
+			reports = append(reports, PauseReport{Server: w.info.Incarnation(), Left: w.pausedUntil - now})
+		}
+	}
+	return reports
+}
+
+// MergePauses takes over the pauses that a peer reports.
+func (r *Roster) MergePauses(reports []PauseReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	for _, report := range reports {
+		if w := r.rows[report.Server.ID]; w != nil && w.info.Incarnation() == report.Server && report.Left > 0 {
+			w.pausedUntil = max(w.pausedUntil, now+report.Left)
+		}
+	}
+}
+
+// MayCarry returns why no connection of a peer to the server at an address may be carried now, or nil.
+func (r *Roster) MayCarry(address ident.Address) error {
+	const op = "carry connection"
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	for _, w := range r.rows {
+		switch {
+		case w.info.Address != address:
+			continue
+		case w.leaving():
+			return fault.Newf(op, KindNoServer, "%s is leaving", w.info.ID)
+		case r.ViewFunc().EvacuatedZones[w.info.Zone]:
+			return fault.Newf(op, KindNoServer, "%s is in a zone out of service", w.info.ID)
+		case w.pausedUntil > now:
+			return fault.Newf(op, KindPaused, "%s wants no requests for %d ms", w.info.ID, w.pausedUntil-now)
+		}
+		return nil
+	}
+	return fault.Newf(op, KindNoServer, "no server has address %s", address)
+}
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -79,6 +79,9 @@
 	// ColdRateFunc returns how many requests per second all instances together may send to
 	// a cold server of the service; zero if the service's servers are never cold.
 	ColdRateFunc func(service declaration.ServiceName) float64
+	// LostFunc reports whether the link to a server is lost, so that its connections go through a peer. It
+	// is called with the table's lock held. Nil means that no link ever is.
+	LostFunc func(address ident.Address) bool
 	// RandIntNFunc, when set, replaces the random number generator: it returns a number in [0, n).
 	RandIntNFunc func(n int) int
 	// OnLimitedSend, when set, is called with the table's lock held when a request is to be sent
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -73,6 +73,8 @@
 	// the pause is in flight.
 	pausedUntil clock.Millis
 	trial       bool
+	// peersPaused is set when the server asked for its pause in an answer that came through a peer.
+	peersPaused bool
 	// rationer holds the rate limit that the server names, and this instance's part of it; nil
 	// for a server that never named one. permitsHeld is the number of its permits at the last
 	// request that the server could have taken. limitedSince is when the server began to name one, and
--- a/internal/request/observer/observer.go
+++ b/internal/request/observer/observer.go
@@ -14,6 +14,7 @@
 
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/crash"
+	"example.com/dotterelwell/internal/link/pathfinder"
 	"example.com/dotterelwell/internal/machine/clock"
 )
 
@@ -53,7 +54,8 @@
 // Observer watches attempts. Set the exported fields before use.
 type Observer struct {
 	Clock *clock.Clock
-	// DialFunc opens the connection that confirms a crash: it is refused while the server is down.
+	// DialFunc opens the connection that confirms a crash: it is refused while the server is down. An error of
+	// package pathfinder tells whether peers reach the server.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnCrash, when set, is called after a crash that this instance has noticed.
 	OnCrash func()
@@ -97,7 +99,7 @@
 		klog.InfoS("Connection to a server ended, and the server is up", "server", server.ID, "victims", len(victims))
 		return
 	}
-	if ctx.Err() != nil || isTimeout(err) {
+	if !isRefused(err) {
 		klog.InfoS("Connection to a server ended, and the server is not reached", "server", server.ID, "victims", len(victims), "err", err)
 		return
 	}
@@ -124,9 +126,16 @@
 	})
 }
 
-func isTimeout(err error) bool {
+// isRefused reports whether the server has refused a connection, of this instance or of a peer.
+func isRefused(err error) bool {
+	switch pathfinder.KindOf(err) {
+	case pathfinder.KindNoPath, pathfinder.KindSilent:
+		return false
+	case pathfinder.KindRefused:
+		return true
+	}
 	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	return !errors.As(err, &timeout) || !timeout.Timeout()
 }
 
 func countStarting(victims []crash.Victim) int {
--- a/internal/request/runner/notify.go
+++ b/internal/request/runner/notify.go
@@ -56,14 +56,16 @@
 	model       declaration.ModelName
 	result      roster.Result
 	detail      string
+	via         ident.Instance
 	headLatency clock.Millis // from the send to the head of the answer
 	took        clock.Millis
 }
 
 func (l *attemptLog) add(a attemptRecord) { l.attempts = append(l.attempts, a) }
 
-// String formats the attempts as server/model:result(detail)/first/took, where first and
-// took are the milliseconds to the answer's head and to its end.
+// String formats the attempts as server/model@peer:result(detail)/first/took, where first and
+// took are the milliseconds to the answer's head and to its end. The peer is left out for a direct
+// connection.
 func (l *attemptLog) String() string {
 	var b strings.Builder
 	for i, a := range l.attempts {
@@ -74,6 +76,9 @@
 		if a.model != "" {
 			b.WriteString("/" + string(a.model))
 		}
+		if a.via != "" {
+			b.WriteString("@" + string(a.via))
+		}
 		b.WriteString(":" + string(a.result))
 		if a.detail != "" {
 			b.WriteString("(" + a.detail + ")")
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -72,6 +72,9 @@
 	// OnSent, when set, is called after each send of a request that belongs to a session.
 	// draw is the hash of the session.
 	OnSent func(draw uint64, service declaration.ServiceName, slot *roster.Slot)
+	// OnPeerAdvised, when set, is called when a server asks for a pause, or says that it is leaving, in an
+	// answer that came through a peer.
+	OnPeerAdvised func(peer ident.Instance)
 	// OnAttemptEnd, when set, is called at the end of each attempt.
 	OnAttemptEnd func(outcome AttemptOutcome)
 	// OnAttemptStart, when set, is called before the request is sent to a server, unless an
@@ -94,17 +97,20 @@
 type AttemptOutcome struct {
 	Attempt
 	Result roster.Result
+	// Via is the peer through which the connection went; empty for a direct one.
+	Via ident.Instance
 	// AfterFailure is set when an earlier attempt of the request ended with ResultError or
 	// ResultLost.
 	AfterFailure bool
 }
 
-// Attempt identifies the route, service, release and model of one attempt of a request.
+// Attempt identifies the route, service, release, model and server of one attempt of a request.
 type Attempt struct {
 	Route   *routing.Route
 	Service declaration.ServiceName
 	Release backend.Release
 	Model   declaration.ModelName
+	Server  ident.Address
 }
 
 // RequestOutcome describes how a request ended.
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -13,6 +13,7 @@
 	"example.com/dotterelwell/internal/contract/message"
 	"example.com/dotterelwell/internal/contract/routing"
 	"example.com/dotterelwell/internal/link/inspector"
+	"example.com/dotterelwell/internal/link/pathfinder"
 	"example.com/dotterelwell/internal/link/splitter"
 	"example.com/dotterelwell/internal/link/transporter"
 	"example.com/dotterelwell/internal/machine/clock"
@@ -31,6 +32,7 @@
 type activeAttempt struct {
 	*execution
 	slot        *roster.Slot
+	via         ident.Instance // the peer through which the connection goes; empty for a direct one
 	answer      *transporter.Answer
 	head        message.Head
 	started     clock.Millis
@@ -71,22 +73,18 @@
 // for a new connection; headTimeout bounds the wait for the head, zero for no bound.
 func (x *execution) send(slot *roster.Slot, fresh bool, headTimeout clock.Millis) (*activeAttempt, verdict, error) {
 	t := &activeAttempt{execution: x, slot: slot, started: x.Clock.Now()}
-	a := message.Attempt{
-		Request: x.req, Server: slot.Server, Model: x.model, After: x.lastEventID,
-		Timeout: x.deadline - t.started - responseMargin, Urgency: x.urgency(),
-	}
-	if x.workspace != nil {
-		a.Workspace = x.workspace.Name
-	}
 	reportFirstByte := t.reportStart()
 	// After a failed attempt, a new connection shows that the next server is up.
-	call := transporter.Call{Address: slot.Server.Address, Request: x.EncodeFunc(a), Fresh: fresh || x.attemptFailed, HeadTimeout: headTimeout}
+	call := transporter.Call{Address: slot.Server.Address, RequestFunc: t.encode, Fresh: fresh || x.attemptFailed, HeadTimeout: headTimeout}
 	if x.MaxIdleConnsFunc != nil {
 		call.MaxIdle = x.MaxIdleConnsFunc(slot.Server.Service)
 	}
 	call.OnInterim = func(resp *http.Response) {
 		if head := x.DecodeFunc(resp); head.Leaving && (head.RequestID == "" || head.RequestID == x.req.ID) {
 			slot.MarkLeaving()
+			if x.OnPeerAdvised != nil && t.via != "" {
+				x.OnPeerAdvised(t.via)
+			}
 		}
 	}
 	t.attemptCtx, t.cancel = context.WithCancel(x.ctx)
@@ -120,7 +118,7 @@
 	if v == verdictForward {
 		t.observed.Begin()
 	}
-	slot.RecordHead(adviceOf(&t.head, x.req.ID))
+	t.recordAdvice()
 	if v == verdictForward && x.route.CacheAffine {
 		x.Predictor.ObservePrefill(x.requestedModel(), slot.Work(), t.headLatency)
 	}
@@ -128,6 +126,31 @@
 	return t, v, nil
 }
 
+// encode returns the request for a connection that is open. The time that it took to connect is no
+// longer left.
+func (t *activeAttempt) encode(via ident.Instance) *http.Request {
+	t.via = via
+	a := message.Attempt{
+		Request: t.req, Server: t.slot.Server, Model: t.model, After: t.lastEventID,
+		Timeout: t.deadline - t.Clock.Now() - responseMargin, Urgency: t.urgency(),
+	}
+	if t.workspace != nil {
+		a.Workspace = t.workspace.Name
+	}
+	return t.EncodeFunc(a)
+}
+
+// recordAdvice records what the head of the answer says about its server. A server that wants no
+// more requests means the instance that it sees, which is the peer if there is one.
+func (t *activeAttempt) recordAdvice() {
+	status := adviceOf(&t.head, t.req.ID)
+	status.ThroughPeer = t.via != ""
+	t.slot.RecordHead(status)
+	if t.OnPeerAdvised != nil && t.via != "" && (status.Leaving || status.RetryAfter > 0) {
+		t.OnPeerAdvised(t.via)
+	}
+}
+
 // reportStart calls OnAttemptStart, except for an attempt after a failed one, whose latency
 // says nothing about the server.
 func (t *activeAttempt) reportStart() (reportFirstByte func(firstByte clock.Millis, found bool)) {
@@ -139,7 +162,7 @@
 
 func (t *activeAttempt) attempt() Attempt {
 	server := t.slot.Server
-	return Attempt{Route: t.route, Service: server.Service, Release: server.Release, Model: t.requestedModel()}
+	return Attempt{Route: t.route, Service: server.Service, Release: server.Release, Model: t.requestedModel(), Server: server.Address}
 }
 
 // classify returns the verdict for the head of an answer and records whether a server may
@@ -186,8 +209,8 @@
 	if t.answer != nil {
 		t.answer.Close()
 	}
-	if result != roster.ResultOK && t.attemptCtx.Err() != nil {
-		result = roster.ResultAbandoned
+	if result != roster.ResultOK && t.attemptCtx.Err() != nil || pathfinder.KindOf(err) == pathfinder.KindNoPath {
+		result = roster.ResultAbandoned // it says nothing about the server
 	}
 	if t.head.Misdirected {
 		result, detail = roster.ResultUnreachable, "misdirected"
@@ -195,9 +218,9 @@
 	t.observed.End(t.observedEnd(result, err))
 	t.cancel()
 	t.slot.Release(result)
-	t.log.add(attemptRecord{server: t.slot.Server.ID, model: t.model, result: result, detail: detail, headLatency: t.headLatency, took: t.Clock.Now() - t.started})
+	t.log.add(attemptRecord{server: t.slot.Server.ID, model: t.model, result: result, detail: detail, via: t.via, headLatency: t.headLatency, took: t.Clock.Now() - t.started})
 	if t.OnAttemptEnd != nil {
-		t.OnAttemptEnd(AttemptOutcome{Attempt: t.attempt(), Result: result, AfterFailure: t.attemptFailed})
+		t.OnAttemptEnd(AttemptOutcome{Attempt: t.attempt(), Result: result, Via: t.via, AfterFailure: t.attemptFailed})
 	}
 	t.execution.attemptFailed = t.execution.attemptFailed || result == roster.ResultError || result == roster.ResultLost
 }
--- a/internal/version/stager/evidence.go
+++ b/internal/version/stager/evidence.go
@@ -74,12 +74,14 @@
 	subject tallier.Subject
 	sentAt  clock.Millis
 	counted bool // as overdue
+	reached func() bool
 }
 
 // TrackFirstByte records that a request was sent to a release. The caller must call done when the
-// wait ends, with the time to first byte, or with found false if there was no first byte.
-func (s *Stager) TrackFirstByte(service declaration.ServiceName, release backend.Release, kind DelayKind, route string, model declaration.ModelName) (done func(firstByte clock.Millis, found bool)) {
-	wait := &pendingFirstByte{subject: subject(service, release, string(kind), route, model), sentAt: s.Clock.Now()}
+// wait ends, with the time to first byte, or with found false if there was no first byte. A wait for a
+// server that is not reached, by reached, says nothing about the release; nil means that it is.
+func (s *Stager) TrackFirstByte(service declaration.ServiceName, release backend.Release, kind DelayKind, route string, model declaration.ModelName, reached func() bool) (done func(firstByte clock.Millis, found bool)) {
+	wait := &pendingFirstByte{subject: subject(service, release, string(kind), route, model), sentAt: s.Clock.Now(), reached: reached}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pending == nil {
@@ -105,7 +107,7 @@
 	defer s.mu.Unlock()
 	for wait := range s.pending {
 		waited := now - wait.sentAt
-		if wait.counted || waited < minOverdueWait {
+		if wait.counted || waited < minOverdueWait || wait.reached != nil && !wait.reached() {
 			continue
 		}
 		median, known := medians[wait.subject]
