Crashes are confirmed only while another server is reached; what holds over the hop

Found by tests of the hop. When four or six of seven instances lost their links with resets, those that broke off asked peers that had lost theirs as well and did not know yet: each server passed for crashed (3 to 21 reports an instance, TestCutOffInstancesReportNoCrashes). A crash is now confirmed only if this instance reaches another server since. When nobody reached a server and connections hung, requests were held for up to 3 s, as a server counted as down for a second only and the next request waited to find out again (TestHopNobodyReaches); attempts in the background find out now. A peer that another one names is asked next, and first while others fail, so that the few that reach servers are found among 400 (TestFindsTheFewThatReach).

The stand-in's dial time-out is a net.Error with Timeout() true, as that of TCP.

--- a/internal/link/pathfinder/link.go
+++ b/internal/link/pathfinder/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"k8s.io/klog/v2"
 
@@ -28,14 +29,17 @@
 	downAt clock.Millis
 	// hangs tells that direct connections hang rather than fail at once.
 	hangs bool
-	// asking is set while peers are asked whether they reach the server; probing while a direct
+	// asking is set while peers are asked whether they reach the server; probing while an
 	// attempt in the background is under way, of which the last began at probedAt.
 	asking, probing  bool
 	probedAt, usedAt clock.Millis
 }
 
-// isDown reports whether nobody reached the server lately.
-func (l *link) isDown(now clock.Millis) bool { return l.downAt > 0 && now-l.downAt < downTimeout }
+// isDown reports whether nobody reached the server lately. If connections hang, that holds until an attempt in
+// the background succeeds, so that no request waits to find it out.
+func (l *link) isDown(now clock.Millis) bool {
+	return l.downAt > 0 && (l.hangs || now-l.downAt < downTimeout)
+}
 
 // cut is what the links together tell about this instance.
 type cut struct {
@@ -110,6 +114,13 @@
 	return p.cut.lost
 }
 
+// DirectSince reports whether a direct connection to any server has been opened after the given time.
+func (p *Pathfinder) DirectSince(at clock.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut.directAt > at
+}
+
 // IsLost reports whether the link to a server is lost.
 func (p *Pathfinder) IsLost(server ident.Address) bool {
 	p.mu.Lock()
@@ -170,12 +181,13 @@
 }
 
 // startAsking reports whether peers may be asked for a server. Only one question for it is under
-// way at a time, so that many callers of a server that is down ask no more than one.
-func (p *Pathfinder) startAsking(server ident.Address) bool {
+// way at a time, so that many callers of a server that is down ask no more than one; again allows one
+// for a server that is down.
+func (p *Pathfinder) startAsking(server ident.Address, again bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.linkTo(server)
-	if l.asking || l.isDown(p.Clock.Now()) {
+	if l.asking || l.isDown(p.Clock.Now()) && !again {
 		return false
 	}
 	l.asking = true
@@ -194,17 +206,21 @@
 	}
 }
 
-// probe starts a direct attempt in the background, whose success ends the loss of the link, unless one was made lately.
-// The lock must be held.
+// probe starts an attempt in the background unless one was made lately: a direct one if the link is lost, whose
+// success ends that, and otherwise one of this instance and its peers. The lock must be held.
 func (p *Pathfinder) probe(server ident.Address, l *link, now clock.Millis) {
 	if l.probing || p.probes >= maxProbes || now-l.probedAt < probeInterval {
 		return
 	}
 	l.probing, l.probedAt = true, now
 	p.probes++
+	lost := l.lost
 	go func() {
-		conn, err := p.dialDirect(context.Background(), server)
-		if err == nil {
+		dial := p.dialDirect
+		if !lost {
+			dial = func(ctx context.Context, server ident.Address) (net.Conn, error) { return p.race(ctx, server, true) }
+		}
+		if conn, err := dial(context.Background(), server); err == nil {
 			_ = conn.Close() // it has shown that the server is reached
 		}
 		p.mu.Lock()
--- a/internal/link/pathfinder/pathfinder.go
+++ b/internal/link/pathfinder/pathfinder.go
@@ -47,12 +47,12 @@
 	// hedgeDelay is how long a direct connection may take before peers are asked as well. Servers are
 	// milliseconds away.
 	hedgeDelay clock.Millis = 250
-	// probeInterval is the least time between two direct attempts in the background at one server.
+	// probeInterval is the least time between two attempts in the background at one server.
 	probeInterval clock.Millis = 500
-	// maxProbes bounds the direct attempts in the background at a time.
+	// maxProbes bounds the attempts in the background at a time.
 	maxProbes = 32
-	// downTimeout is how long a server that nobody reached counts as down: peers are not asked again,
-	// and connections fail at once if they would hang.
+	// downTimeout is how long a server that refused this instance and its peers counts as down: peers are
+	// not asked again.
 	downTimeout = 1 * clock.Second
 	// minLost is how many links must be lost, without a direct connection since, for the instance to
 	// count as cut off.
@@ -95,9 +95,9 @@
 	case pathDirect:
 		return p.dialDirect(ctx, server)
 	case pathNone:
-		return nil, fault.Newf(op, KindSilent, "%s answered nobody within the last %d ms", address, downTimeout)
+		return nil, fault.Newf(op, KindSilent, "%s answered nobody lately", address)
 	}
-	return p.race(ctx, server)
+	return p.race(ctx, server, false)
 }
 
 // dialDirect opens a direct connection, and records its result.
@@ -136,8 +136,8 @@
 }
 
 // race connects directly, and through a peer if that fails or takes long. It returns the connection
-// that is open first.
-func (p *Pathfinder) race(ctx context.Context, server ident.Address) (net.Conn, error) {
+// that is open first. again asks peers although they have not reached the server lately.
+func (p *Pathfinder) race(ctx context.Context, server ident.Address, again bool) (net.Conn, error) {
 	racing, cancel := context.WithCancel(ctx)
 	results := make(chan dialResult, 2)
 	go func() {
@@ -146,7 +146,7 @@
 	}()
 	asked, pending := false, 1
 	ask := func() {
-		if asked || ctx.Err() != nil || !p.startAsking(server) {
+		if asked || ctx.Err() != nil || !p.startAsking(server, again) {
 			return
 		}
 		asked = true
@@ -190,6 +190,28 @@
 	return nil, directErr
 }
 
+// ReachesAny reports whether a direct connection can be opened to one of the servers. It tries them all at once.
+func (p *Pathfinder) ReachesAny(ctx context.Context, servers []ident.Address) bool {
+	trying, cancel := context.WithCancel(ctx)
+	results := make(chan dialResult, len(servers))
+	for _, server := range servers {
+		go func() {
+			conn, err := p.dialDirect(trying, server)
+			results <- dialResult{conn: conn, err: err}
+		}()
+	}
+	for tried := range len(servers) {
+		if r := <-results; r.err == nil {
+			_ = r.conn.Close() // it has shown that the server is reached
+			cancel()
+			go discard(results, len(servers)-tried-1)
+			return true
+		}
+	}
+	cancel()
+	return false
+}
+
 // discard closes the connections that lost a race.
 func discard(results <-chan dialResult, pending int) {
 	for range pending {
--- a/internal/link/selector/selector.go
+++ b/internal/link/selector/selector.go
@@ -2,7 +2,6 @@
 package selector
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -72,24 +71,29 @@
 type rank int
 
 const (
-	rankReaches rank = iota // it has connected lately, or says that it is not cut off
+	rankProven  rank = iota // it has connected lately, by itself or by a referral, while others could not
+	rankReaches             // it has connected lately, or says that it is not cut off
 	rankUnknown
 	rankFailed // it could not connect when it was last asked
 	rankNone   // its build doesn't know tunnels, or it says that it carries none
 )
 
-// rank returns the rank of a peer. A nil peerState is that of a peer that has not reported.
-func (s *peerState) rank(now clock.Millis) rank {
+// rank returns the rank of a peer. someFail is set if peers could not connect lately. A nil peerState is
+// that of a peer that has not reported.
+func (s *peerState) rank(now clock.Millis, someFail bool) rank {
 	if s == nil || !s.report.Carries || now-s.reportedAt >= reportRetention || now-s.silentAt < silentPause {
 		return rankNone
 	}
 	fresh := now-s.reportedAt < freshReport
+	proven := s.carriesSince(now-freshReport) || s.referredAt > now-referralRetention
 	switch {
 	case fresh && s.report.CutOff && s.carriedAt < s.reportedAt:
 		return rankNone
 	case s.failedAt > max(s.carriedAt, s.referredAt):
 		return rankFailed
-	case fresh, s.carriesSince(now - freshReport), s.referredAt > now-referralRetention:
+	case proven && someFail:
+		return rankProven
+	case proven, fresh:
 		return rankReaches
 	}
 	return rankUnknown
@@ -104,7 +108,6 @@
 type candidate struct {
 	gossiper.Peer
 	state *peerState
-	rank  rank
 	cost  int
 }
 
@@ -113,12 +116,14 @@
 func (s *Selector) Open(ctx context.Context, server ident.Address) (net.Conn, error) {
 	const op = "open connection through a peer"
 	var failed error
-	asked, unreached := 0, 0
-	for _, c := range s.candidates() {
-		if asked == maxAsked || unreached == maxFailed || ctx.Err() != nil {
+	var asked []ident.Instance
+	unreached := 0
+	for len(asked) < maxAsked && unreached < maxFailed && ctx.Err() == nil {
+		c, found := s.choose(asked)
+		if !found {
 			break
 		}
-		asked++
+		asked = append(asked, c.Instance)
 		conn, carriers, err := s.OpenFunc(ctx, c.Instance, c.Address, server)
 		s.record(c, carriers, err, ctx.Err() != nil)
 		if err == nil {
@@ -126,11 +131,11 @@
 			return conn, nil
 		}
 		kind := tunneler.KindOf(err)
-		reachedPeer := kind == tunneler.KindServerRefused || kind == tunneler.KindServerSilent
-		if reachedPeer {
+		tried := kind == tunneler.KindServerRefused || kind == tunneler.KindServerSilent
+		if tried {
 			unreached++
 		}
-		if failed == nil || reachedPeer {
+		if failed == nil || tried {
 			failed = err
 		}
 	}
@@ -140,38 +145,44 @@
 	return nil, failed
 }
 
-// candidates returns the peers to ask in turn.
-func (s *Selector) candidates() []candidate {
+// choose returns the peer to ask next: the one with the least cost among a sample of those with the best rank, or
+// among those that failed the one that did so first.
+func (s *Selector) choose(asked []ident.Instance) (best candidate, found bool) {
 	peers := s.PeersFunc()
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now-s.failuresAt < clock.Second && s.failures >= maxFailures {
-		return nil
+		return candidate{}, false
 	}
-	var ranked [rankNone][]candidate
-	for _, p := range peers {
+	someFail := now-s.failuresAt < freshReport
+	compared := 0
+	bestRank := rankNone
+	for _, n := range rand.Perm(len(peers)) {
+		p := peers[n]
 		state := s.peers[p.Instance]
-		if r := state.rank(now); r < rankNone {
-			c := candidate{Peer: p, state: state, rank: r, cost: state.report.Carried + state.open}
-			if p.Zone != s.Zone {
-				c.cost += remoteCost
-			}
-			ranked[r] = append(ranked[r], c)
+		r := state.rank(now, someFail)
+		if r == rankNone || r > bestRank || slices.Contains(asked, p.Instance) {
+			continue
 		}
-	}
-	var all []candidate
-	for r, candidates := range ranked {
-		rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-		if rank(r) == rankFailed {
-			slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.state.failedAt, b.state.failedAt) })
-		} else {
-			sample := candidates[:min(len(candidates), sampleSize)]
-			slices.SortStableFunc(sample, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+		if r < bestRank {
+			bestRank, compared, found = r, 0, false
+		}
+		if compared++; r != rankFailed && compared > sampleSize {
+			continue
+		}
+		c := candidate{Peer: p, state: state, cost: state.report.Carried + state.open}
+		switch {
+		case r == rankFailed:
+			c.cost = int(state.failedAt - now)
+		case p.Zone != s.Zone:
+			c.cost += remoteCost
+		}
+		if !found || c.cost < best.cost {
+			best, found = c, true
 		}
-		all = append(all, candidates[:min(len(candidates), maxAsked)]...)
 	}
-	return all
+	return best, found
 }
 
 // record records the result of asking a peer.
--- a/internal/machine/host/crashes.go
+++ b/internal/machine/host/crashes.go
@@ -29,7 +29,7 @@
 	h.Meter.Gauge("quarantined_parts", "Prompt parts and requests in quarantine, because servers crash under them.", func() float64 { return float64(h.Quarantiner.Count()) })
 	h.Attributor = &attributor.Attributor{Clock: h.Clock, QuarantinedFunc: h.Quarantiner.Quarantined}
 	h.Observer = &observer.Observer{
-		Clock: h.Clock, DialFunc: h.Pathfinder.DialContext, OnClear: h.Quarantiner.Clear,
+		Clock: h.Clock, DialFunc: h.Pathfinder.DialContext, ReachesOthersFunc: h.reachesOthers, OnClear: h.Quarantiner.Clear,
 		OnCrash: func() {
 			h.Attributor.Merge(h.Profile.Instance, h.Observer.Reports())
 			h.Gossiper.SendToCrashCollectors(context.Background())
--- a/internal/machine/host/tunnels.go
+++ b/internal/machine/host/tunnels.go
@@ -21,6 +21,9 @@
 	tunnelPart = 1.0 / 8
 	// tunnelDescriptors is the number of descriptors that a carried tunnel takes.
 	tunnelDescriptors = 2
+	// reachSample is how many other servers are tried to find out whether a server that refuses
+	// connections has crashed.
+	reachSample = 4
 	// lossCheckTime is how long after a lost attempt it is known whether the link to the server is lost.
 	lossCheckTime clock.Millis = 700
 )
@@ -87,5 +90,15 @@
 	})
 }
 
+// reachesOthers reports whether this instance has reached another server than the given one since a time, or
+// knows of no other.
+func (h *Host) reachesOthers(ctx context.Context, server ident.Address, since clock.Millis) bool {
+	if h.Pathfinder.DirectSince(since) {
+		return true
+	}
+	others := h.Roster.OtherAddresses(server, reachSample)
+	return len(others) == 0 || h.Pathfinder.ReachesAny(ctx, others)
+}
+
 // noteAdvice tells a peer what a server said to it in an answer that it passed on unread.
 func (h *Host) noteAdvice(peer ident.Instance) { h.Gossiper.SendTo(context.Background(), peer) }
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -303,6 +303,22 @@
 	return len(r.rows) > 0
 }
 
+// OtherAddresses returns the addresses of up to n servers in service, chosen at random, without the given one.
+func (r *Roster) OtherAddresses(not ident.Address, n int) []ident.Address {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var others []ident.Address
+	for _, w := range r.rows { // in random order
+		if len(others) == n {
+			break
+		}
+		if w.info.Address != not && !w.leaving() {
+			others = append(others, w.info.Address)
+		}
+	}
+	return others
+}
+
 // Loads returns the load that this instance puts on each server where it has requests in
 // flight.
 func (r *Roster) Loads() map[ident.Server]Load {
--- a/internal/request/observer/observer.go
+++ b/internal/request/observer/observer.go
@@ -16,6 +16,7 @@
 	"example.com/dotterelwell/internal/contract/crash"
 	"example.com/dotterelwell/internal/link/pathfinder"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/ident"
 )
 
 const (
@@ -57,6 +58,9 @@
 	// DialFunc opens the connection that confirms a crash: it is refused while the server is down. An error of
 	// package pathfinder tells whether peers reach the server.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+	// ReachesOthersFunc, when set, reports whether this instance has reached another server since the
+	// given time. A server that refuses connections has not crashed if all servers do.
+	ReachesOthersFunc func(ctx context.Context, server ident.Address, since clock.Millis) bool
 	// OnCrash, when set, is called after a crash that this instance has noticed.
 	OnCrash func()
 	// OnClear, when set, is called with the prompt parts and the fingerprint of a request whose answer
@@ -99,7 +103,7 @@
 		klog.InfoS("Connection to a server ended, and the server is up", "server", server.ID, "victims", len(victims))
 		return
 	}
-	if !isRefused(err) {
+	if !isRefused(err) || !o.reachesOthers(server, at) {
 		klog.InfoS("Connection to a server ended, and the server is not reached", "server", server.ID, "victims", len(victims), "err", err)
 		return
 	}
@@ -118,6 +122,15 @@
 	}
 }
 
+func (o *Observer) reachesOthers(server backend.Incarnation, since clock.Millis) bool {
+	if o.ReachesOthersFunc == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout.Duration())
+	defer cancel()
+	return o.ReachesOthersFunc(ctx, server.Address, since)
+}
+
 // brokeAt reports whether the server was working on an attempt of this instance when its connections
 // ended. The lock must be held.
 func (o *Observer) brokeAt(server backend.Incarnation, at clock.Millis) bool {
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -14,7 +15,7 @@
 
 var (
 	errRefused = errors.New("connection refused")
-	errSilent  = errors.New("dial timed out")
+	errSilent  = errors.Wrap(os.ErrDeadlineExceeded, "dial") // a net.Error with Timeout() true, as of TCP
 )
 
 // dialPatience is how long a dial to an unreachable address takes to fail.
