The signal to reload the settings ends no process

The handler was set after the settings were read and removed when the drain began. It is now set as the process is initialized and stays; commands that don't serve give the signal its default action back.

TestReloadSignalEndsNoProcess runs a real process: without the change the instance never becomes ready.

--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -11,6 +11,8 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
+
+	"example.com/dotterelwell/internal/cli/reloader"
 )
 
 // Exit codes of the program.
@@ -93,6 +95,11 @@
 	if !ok {
 		return usage(parser, errOut, "a command is missing")
 	}
+	switch leaf.(type) {
+	case *entryCmd, *serveCmd:
+	default:
+		reloader.Process.Release()
+	}
 	err = leaf.run(ctx, environment{out: out, err: errOut})
 	switch {
 	case err == nil:
--- a/internal/cli/cmds/entry.go
+++ b/internal/cli/cmds/entry.go
@@ -4,14 +4,12 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"example.com/dotterelwell/internal/cli/reloader"
 	"example.com/dotterelwell/internal/machine/host"
 	"example.com/dotterelwell/internal/machine/logger"
 	"example.com/dotterelwell/internal/machine/profile"
@@ -64,18 +62,15 @@
 
 // reloads returns the settings each time they have changed.
 func reloads(ctx context.Context, held profile.Profile) <-chan profile.Profile {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	changed := make(chan profile.Profile)
 	go func() {
-		defer signal.Stop(signals)
 		look := time.NewTicker(lookEvery)
 		defer look.Stop()
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-signals:
+			case <-reloader.Process.Requests():
 			case <-look.C:
 			}
 			p, err := platform.LoadProfile()
