--- a/internal/cli/narrator/line.go
+++ b/internal/cli/narrator/line.go
@@ -99,6 +99,8 @@
 		return "roll-out " + l.fields["service"], true
 	case "Store is lost", "Store is reached":
 		return "store " + l.fields["kind"], true
+	case "Instance is cut off from servers", "Instance is no longer cut off from servers":
+		return "links", true
 	case "Instance started", "Instance is draining", "Instance stops", "Settings are reloaded", "Peer contact":
 		return l.message, false
 	}
@@ -107,8 +109,8 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	server, model, result string
-	first, took           string // in milliseconds
+	server, model, peer, result string
+	first, took                 string // in milliseconds
 }
 
 // String describes the attempt.
@@ -117,11 +119,14 @@
 	if a.model != "" {
 		text += ", model " + a.model
 	}
+	if a.peer != "" {
+		text += ", through " + a.peer
+	}
 	return fmt.Sprintf("%s: %s, first byte after %s ms, ended after %s ms", text, a.result, a.first, a.took)
 }
 
-// attemptForm is server/model:result(detail)/first/took, where the model may be missing.
-var attemptForm = regexp.MustCompile(`^([^/:]+)(?:/([^:]*))?:(.*?)/(\d+)/(\d+)(?: |$)`)
+// attemptForm is server/model@peer:result(detail)/first/took, where the model and the peer may be missing.
+var attemptForm = regexp.MustCompile(`^([^/:@]+)(?:/([^:@]*))?(?:@([^:]*))?:(.*?)/(\d+)/(\d+)(?: |$)`)
 
 // attempts reads the attempts of a request. What is not in their form is left out.
 func attempts(text string) []attempt {
@@ -131,7 +136,7 @@
 		if match == nil {
 			return all
 		}
-		all = append(all, attempt{server: match[1], model: match[2], result: match[3], first: match[4], took: match[5]})
+		all = append(all, attempt{server: match[1], model: match[2], peer: match[3], result: match[4], first: match[5], took: match[6]})
 		text = text[len(match[0]):]
 	}
 	return all
--- a/internal/cli/narrator/narrator_test.go
+++ b/internal/cli/narrator/narrator_test.go
@@ -91,3 +91,24 @@
 		}
 	})
 }
+
+// TestTellOfPeers guards against the story of a request that went through a peer losing its servers.
+func TestTellOfPeers(t *testing.T) {
+	const log = `I1205 05:20:50.000000   7 link.go:1] "Instance is cut off from servers" hangs=true lost=2 direct-ms-ago=300
+I1205 05:20:50.500000   7 roster.go:1] "Server entry" server="i-4" service="desk" zone="north-a" release="v1" leaving=false cold-ms=0
+I1205 05:20:51.000000   7 runner.go:1] "Request ended" request="once-1" outcome="answered" cause=null route="once" config=7 took-ms=12 attempts="i-3/small@front-b:ok(200)/4/5 i-4@front-c:ok(200)/5/6" events=0 session=""
+`
+	var n narrator.Narrator
+	if err := n.Read("front-a.log", strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if found, err := n.Tell("once-1", &out); err != nil || !found {
+		t.Fatalf("found %v, error %v", found, err)
+	}
+	for _, want := range []string{"i-3, model small, through front-b: ok(200)", "i-4, through front-c: ok(200)", `Server entry server="i-4"`, "Instance is cut off from servers"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the story lacks %q:\n%s", want, out.String())
+		}
+	}
+}
