Failures count at once in a roll-out while other servers are reached; tests of single parts of the hop

An attempt that was lost counts against its release only when it is known whether the link to the server is lost, 0.7 s later; now after 0.1 s if a direct connection has been opened meanwhile, so that a bad release is found as soon as before where nobody is cut off.

--- a/internal/link/connector/connector_test.go
+++ b/internal/link/connector/connector_test.go
@@ -112,3 +112,55 @@
 		}
 	})
 }
+
+// TestStream guards against bytes of a stream that are lost between the call that opens it and its first read, and against a method that
+// the called end doesn't have doing harm to it.
+func TestStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &wire.Network{}
+		listener, err := network.Listen("10.0.0.3:81")
+		if err != nil {
+			t.Fatal(err)
+		}
+		serving := &connector.Connector{StreamFuncs: map[string]func(*connector.Stream){"Test.Open": func(s *connector.Stream) {
+			var name string
+			if err := s.ReadArgs(&name); err != nil {
+				t.Error(err)
+			}
+			if err := s.Reply("hello " + name); err != nil {
+				t.Error(err)
+			}
+			_, _ = s.Write([]byte("first bytes")) // the other end shows what arrived
+		}}}
+		server := rpc.NewServer()
+		if err := server.Register(Echo{}); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = serving.Serve(listener, server) // it ends when the listener closes
+		}()
+		client := &connector.Connector{DialFunc: network.Dialer("10.0.0.2")}
+		var reply string
+		stream, err := client.OpenStream(context.Background(), "10.0.0.3:81", "Test.Open", "there", &reply)
+		if err != nil || reply != "hello there" {
+			t.Fatalf("reply %q, error %v", reply, err)
+		}
+		got := make([]byte, 11)
+		if _, err := stream.Read(got); err != nil || string(got) != "first bytes" {
+			t.Errorf("read %q, error %v", got, err)
+		}
+		_ = stream.Close()
+		if _, err := client.OpenStream(context.Background(), "10.0.0.3:81", "Test.Unknown", "there", &reply); fault.KindOf[connector.Kind](err) != connector.KindFailed {
+			t.Errorf("error %v, want one of kind %s", err, connector.KindFailed)
+		}
+		if err := client.Call(context.Background(), "10.0.0.3:81", "Echo.Say", "still here", &reply); err != nil || reply != "still here" {
+			t.Errorf("reply %q, error %v", reply, err)
+		}
+		client.Close()
+		_ = listener.Close() // it ends Serve
+		serving.Close()
+		<-done
+	})
+}
--- a/internal/machine/host/tunnels.go
+++ b/internal/machine/host/tunnels.go
@@ -24,8 +24,10 @@
 	// reachSample is how many other servers are tried to find out whether a server that refuses
 	// connections has crashed.
 	reachSample = 4
-	// lossCheckTime is how long after a lost attempt it is known whether the link to the server is lost.
-	lossCheckTime clock.Millis = 700
+	// lossCheckTime is how long after a lost attempt it is known whether the link to the server is lost, and
+	// earlyCheckTime how long after it if connections are opened meanwhile.
+	lossCheckTime  clock.Millis = 700
+	earlyCheckTime clock.Millis = 100
 )
 
 // wireTunnels builds the ways to servers: directly, and through peers while links are lost.
@@ -83,10 +85,18 @@
 	if o.Via != "" {
 		return
 	}
-	time.AfterFunc(lossCheckTime.Duration(), func() {
+	lostAt := h.Clock.Now()
+	count := func() {
 		if !h.Pathfinder.IsLost(o.Server) {
 			h.Stager.RecordFailure(o.Service, o.Release, o.Route.Name)
 		}
+	}
+	time.AfterFunc(earlyCheckTime.Duration(), func() {
+		if h.Pathfinder.DirectSince(lostAt) {
+			count()
+			return
+		}
+		time.AfterFunc((lossCheckTime - earlyCheckTime).Duration(), count)
 	})
 }
 
--- a/internal/version/stager/stager_test.go
+++ b/internal/version/stager/stager_test.go
@@ -320,3 +320,23 @@
 		t.Errorf("%v delays were counted for 30 answers", total)
 	}
 }
+
+// TestWaitsOverLostLinksDontCount guards against a release being found bad for answers that can't arrive, because the instance has lost its
+// links to the servers.
+func TestWaitsOverLostLinksDontCount(t *testing.T) {
+	f := newFleet(1)
+	order, s := f.begin(), f.stagers[0]
+	for range 100 {
+		s.RecordDelay("engines", "v1", stager.DelayPrompt, "route", "small", 300)
+	}
+	for range 30 {
+		s.TrackFirstByte("engines", "v2", stager.DelayPrompt, "route", "small", func() bool { return false })
+	}
+	for range 8 {
+		f.now += clock.Second
+		s.Tick()
+	}
+	if got := s.DueOutcome(order, 0); got == backend.OutcomeRolledBack {
+		t.Error("the release is rolled back")
+	}
+}
