A peer that stops carries connections as long as its own callers' requests

The three instances that reached the servers were stopped in turn, and a stopping one carried nothing from the signal on: for some seconds nobody carried. A stopping peer now carries what ends before it stops, or can go on elsewhere, and is asked after all others. The deadline of a request reaches the connection's opening for that; the transporter shortened it to 1.2 s.

--- a/internal/link/selector/selector.go
+++ b/internal/link/selector/selector.go
@@ -45,7 +45,7 @@
 	// PeersFunc returns the other instances.
 	PeersFunc func() []gossiper.Peer
 	// OpenFunc opens a connection to a server through a peer, as Tunneler.Open does.
-	OpenFunc func(ctx context.Context, peer ident.Instance, at, server ident.Address) (*tunneler.Conn, []ident.Instance, error)
+	OpenFunc func(ctx context.Context, peer ident.Instance, at, server ident.Address) (*tunneler.Conn, tunneler.OpenReply, error)
 
 	mu    sync.Mutex
 	peers map[ident.Instance]*peerState
@@ -74,6 +74,7 @@
 	rankProven  rank = iota // it has connected lately, by itself or by a referral, while others could not
 	rankReaches             // it has connected lately, or says that it is not cut off
 	rankUnknown
+	rankStopping
 	rankFailed // it could not connect when it was last asked
 	rankNone   // its build doesn't know tunnels, or it says that it carries none
 )
@@ -91,6 +92,8 @@
 		return rankNone
 	case s.failedAt > max(s.carriedAt, s.referredAt):
 		return rankFailed
+	case s.report.Stopping:
+		return rankStopping
 	case proven && someFail:
 		return rankProven
 	case proven, fresh:
@@ -124,8 +127,8 @@
 			break
 		}
 		asked = append(asked, c.Instance)
-		conn, carriers, err := s.OpenFunc(ctx, c.Instance, c.Address, server)
-		s.record(c, carriers, err, ctx.Err() != nil)
+		conn, reply, err := s.OpenFunc(ctx, c.Instance, c.Address, server)
+		s.record(c, reply, err, ctx.Err() != nil)
 		if err == nil {
 			conn.OnClose(func() { s.release(c.state) })
 			return conn, nil
@@ -186,10 +189,11 @@
 }
 
 // record records the result of asking a peer.
-func (s *Selector) record(c candidate, carriers []ident.Instance, err error, cancelled bool) {
+func (s *Selector) record(c candidate, reply tunneler.OpenReply, err error, cancelled bool) {
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.state.report.Stopping = c.state.report.Stopping || reply.Stopping
 	switch {
 	case err == nil:
 		c.state.carriedAt = now
@@ -206,7 +210,7 @@
 		s.failuresAt, s.failures = now, 0
 	}
 	s.failures++
-	for _, instance := range carriers {
+	for _, instance := range reply.Carriers {
 		if known := s.peers[instance]; known != nil {
 			known.referredAt = now
 		}
--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -58,9 +58,6 @@
 func KindOf(err error) Kind { return fault.KindOf[Kind](err) }
 
 const (
-	// dialTimeout bounds the opening of a connection. Backend servers are milliseconds
-	// away, but TCP retransmits the first lost packet of a handshake after one second.
-	dialTimeout clock.Millis = 1200
 	// defaultMaxIdle is the number of idle connections kept per server when
 	// Call.MaxIdle is zero.
 	defaultMaxIdle = 16
@@ -78,7 +75,8 @@
 // value opens TCP connections.
 type Transporter struct {
 	Clock *clock.Clock
-	// DialFunc replaces opening TCP connections.
+	// DialFunc replaces opening TCP connections. It bounds the time that this takes; the deadline of
+	// ctx is that of the request.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
@@ -268,8 +266,6 @@
 			return c, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
-	defer cancel()
 	dial := t.DialFunc
 	if dial == nil {
 		dial = dialer.TCP.DialContext
--- a/internal/link/tunneler/tunneler.go
+++ b/internal/link/tunneler/tunneler.go
@@ -50,6 +50,8 @@
 	// serverTimeout bounds the peer's connection to the server. It is shorter than OpenTimeout, so
 	// that the peer can tell that the server is silent.
 	serverTimeout clock.Millis = 400
+	// leastLeft is how long a tunnel must last at least for a request that can go on elsewhere.
+	leastLeft = 1 * clock.Second
 	// bufferBytes is the size of each buffer between the two connections of a tunnel.
 	bufferBytes = 4 << 10
 	// MemoryBytes is about how much memory a tunnel takes at the peer that carries it.
@@ -62,14 +64,25 @@
 type OpenArgs struct {
 	From   ident.Instance
 	Server ident.Address
+	// Left is how long the tunnel must last at least, for a request that can't go on elsewhere.
+	Left clock.Millis
 }
 
+// uncut is the key of the value that WithoutCut sets.
+type uncut struct{}
+
+// WithoutCut returns a context for a connection that must last until its deadline, because the request can't go
+// on elsewhere.
+func WithoutCut(ctx context.Context) context.Context { return context.WithValue(ctx, uncut{}, true) }
+
 // OpenReply is the reply to the call that opens a tunnel. The tunnel is open if Failure is empty.
 type OpenReply struct {
 	Failure Kind
 	Reason  string
 	// Carriers names other instances that carry tunnels, as far as the called one knows.
 	Carriers []ident.Instance
+	// Stopping is as in Report.
+	Stopping bool
 }
 
 // Report is what an instance tells its peers about tunnels. The zero value is that of a build
@@ -78,6 +91,9 @@
 	// Carries is set if the instance carries tunnels, of which it has Carried now.
 	Carries bool
 	Carried int
+	// Stopping is set while the instance stops: it carries tunnels for some seconds, for peers that have no
+	// other.
+	Stopping bool
 	// CutOff is set while the instance is cut off from servers itself. Carriers then names instances
 	// that carry its tunnels.
 	CutOff   bool
@@ -91,10 +107,13 @@
 	// DialFunc opens a connection to a server, directly and never through a peer. It may return an
 	// Error, which the peer then gets.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-	// MayCarryFunc, when set, returns why no tunnel to a server may be carried now.
-	MayCarryFunc func(server ident.Address) error
+	// MayCarryFunc, when set, returns why no tunnel to a server may be carried now that must last so
+	// long.
+	MayCarryFunc func(server ident.Address, left clock.Millis) error
 	// CarriersFunc, when set, returns instances to name to a peer whose tunnel is not carried.
 	CarriersFunc func() []ident.Instance
+	// StoppingFunc, when set, reports whether this instance stops.
+	StoppingFunc func() bool
 	// Limit bounds the tunnels that are carried at a time.
 	Limit int
 
@@ -112,23 +131,26 @@
 // Full reports whether this instance has no room for another tunnel.
 func (t *Tunneler) Full() bool { return t.Carried() >= t.Limit }
 
-// Open opens a connection to a server through the peer at an address. carriers names other peers
-// that the peer knows to carry tunnels; it may be set with an error.
-func (t *Tunneler) Open(ctx context.Context, peer ident.Instance, at, server ident.Address) (conn *Conn, carriers []ident.Instance, err error) {
+// Open opens a connection to a server through the peer at an address. The reply tells of the peer also if
+// there is an error.
+func (t *Tunneler) Open(ctx context.Context, peer ident.Instance, at, server ident.Address) (conn *Conn, reply OpenReply, err error) {
 	const op = "open tunnel"
+	args := OpenArgs{From: t.Instance, Server: server, Left: leastLeft}
+	if deadline, found := ctx.Deadline(); found && ctx.Value(uncut{}) != nil {
+		args.Left = clock.Millis(time.Until(deadline).Milliseconds())
+	}
 	ctx, cancel := context.WithTimeout(ctx, OpenTimeout.Duration())
 	defer cancel()
-	var reply OpenReply
-	stream, err := t.Connector.OpenStream(ctx, at, OpenMethod, OpenArgs{From: t.Instance, Server: server}, &reply)
+	stream, err := t.Connector.OpenStream(ctx, at, OpenMethod, args, &reply)
 	if err != nil {
-		return nil, nil, fault.New(op, KindNoPeer, err)
+		return nil, OpenReply{}, fault.New(op, KindNoPeer, err)
 	}
-	carriers = reply.Carriers[:min(len(reply.Carriers), MaxReferrals)]
+	reply.Carriers = reply.Carriers[:min(len(reply.Carriers), MaxReferrals)]
 	if reply.Failure != "" {
 		_ = stream.Close() // the reply is the result
-		return nil, carriers, fault.Newf(op, reply.Failure, "peer %s: %s", peer, reply.Reason)
+		return nil, reply, fault.Newf(op, reply.Failure, "peer %s: %s", peer, reply.Reason)
 	}
-	return newConn(stream, peer), carriers, nil
+	return newConn(stream, peer), reply, nil
 }
 
 // Carry serves a stream that a peer has opened: it connects to the server and passes bytes on until
@@ -141,7 +163,7 @@
 	}
 	server, err := t.connect(args)
 	if err != nil {
-		reply := OpenReply{Failure: KindOf(err), Reason: err.Error()}
+		reply := OpenReply{Failure: KindOf(err), Reason: err.Error(), Stopping: t.stopping()}
 		if t.CarriersFunc != nil {
 			reply.Carriers = t.CarriersFunc()
 		}
@@ -151,7 +173,7 @@
 	}
 	defer t.release()
 	defer server.Close()
-	if err := stream.Reply(&OpenReply{}); err != nil {
+	if err := stream.Reply(&OpenReply{Stopping: t.stopping()}); err != nil {
 		return
 	}
 	began := time.Now()
@@ -159,11 +181,13 @@
 	klog.V(1).InfoS("Tunnel ended", "peer", args.From, "address", args.Server, "took-ms", time.Since(began).Milliseconds(), "end", end)
 }
 
+func (t *Tunneler) stopping() bool { return t.StoppingFunc != nil && t.StoppingFunc() }
+
 // connect takes room for a tunnel and connects to the server.
 func (t *Tunneler) connect(args OpenArgs) (net.Conn, error) {
 	const op = "carry tunnel"
 	if t.MayCarryFunc != nil {
-		if err := t.MayCarryFunc(args.Server); err != nil {
+		if err := t.MayCarryFunc(args.Server, args.Left); err != nil {
 			return nil, fault.New(op, KindNotCarried, err)
 		}
 	}
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -125,6 +125,9 @@
 	cutAt := began + clock.Millis(cutPart*float64(h.currentBounds().Grace))
 	h.stopAt.Store(int64(cutAt))
 	h.stopFrom.Store(int64(began + acceptSpan))
+	if !h.Gossiper.InLargeFleet() {
+		h.Gossiper.SendToAll(context.Background()) // peers choose others for their tunnels
+	}
 	h.wait(func(now clock.Millis) bool {
 		return now >= cutAt || now-began >= acceptSpan+quietSpan && h.idle()
 	})
--- a/internal/machine/host/tunnels.go
+++ b/internal/machine/host/tunnels.go
@@ -34,7 +34,7 @@
 func (h *Host) wireTunnels() {
 	h.Connector = &connector.Connector{DialFunc: h.outside.DialFunc}
 	h.Pathfinder = &pathfinder.Pathfinder{Clock: h.Clock, DialFunc: h.outside.DialFunc, OnLost: func(server ident.Address) { h.Transporter.DropIdle(server) }, OnCutOff: h.noteCutOff}
-	h.Tunneler = &tunneler.Tunneler{Instance: h.Profile.Instance, Connector: h.Connector, DialFunc: h.Pathfinder.CarryContext, MayCarryFunc: h.mayCarry, Limit: h.tunnelLimit()}
+	h.Tunneler = &tunneler.Tunneler{Instance: h.Profile.Instance, Connector: h.Connector, DialFunc: h.Pathfinder.CarryContext, MayCarryFunc: h.mayCarry, StoppingFunc: h.draining.Load, Limit: h.tunnelLimit()}
 	h.Selector = &selector.Selector{Clock: h.Clock, Zone: h.Profile.Zone, PeersFunc: h.Enlister.Peers, OpenFunc: h.Tunneler.Open}
 	h.Tunneler.CarriersFunc = h.Selector.Carriers
 	h.Pathfinder.TunnelFunc = h.Selector.Open
@@ -53,8 +53,10 @@
 	return max(limit, 1)
 }
 
-func (h *Host) mayCarry(server ident.Address) error {
-	if h.draining.Load() {
+// mayCarry returns why no tunnel to a server may be carried now that must last so long. An instance that stops carries them
+// as long as it takes such requests from its own callers.
+func (h *Host) mayCarry(server ident.Address, left clock.Millis) error {
+	if h.stopsBefore(left) {
 		return errors.New("the instance is stopping")
 	}
 	return h.Roster.MayCarry(server)
@@ -72,7 +74,7 @@
 
 // tunnelReport is what messages to peers say about tunnels.
 func (h *Host) tunnelReport() tunneler.Report {
-	report := tunneler.Report{Carries: !h.draining.Load(), Carried: h.Tunneler.Carried(), CutOff: h.Pathfinder.CutOff()}
+	report := tunneler.Report{Carries: true, Carried: h.Tunneler.Carried(), Stopping: h.draining.Load(), CutOff: h.Pathfinder.CutOff()}
 	if report.CutOff {
 		report.Carriers = h.Selector.Carriers()
 	}
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -215,8 +215,8 @@
 	if x.req.CallerTimeout > 0 {
 		x.deadline = min(x.deadline, x.req.ArrivedAt+x.req.CallerTimeout)
 	}
-	if x.route.Delivery == routing.DeliveryOnce || x.route.Delivery == routing.DeliveryStream && !x.route.Resumable {
-		x.ctx = context.WithoutCancel(x.ctx) // not repeatable: it runs to its end even if the caller disconnects
+	if !x.repeatable() {
+		x.ctx = context.WithoutCancel(x.ctx) // it runs to its end even if the caller disconnects
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, time.Now().Add((x.deadline - x.Clock.Now()).Duration()))
 	defer cancel()
@@ -227,6 +227,11 @@
 	return x.serveWhole()
 }
 
+// repeatable reports whether the request may run again, or go on, at another server.
+func (x *execution) repeatable() bool {
+	return x.route.Delivery == routing.DeliveryIdempotent || x.route.Delivery == routing.DeliveryStream && x.route.Resumable
+}
+
 const (
 	// initialStateTimeout bounds a request's wait for the instance's first read of the
 	// store, which takes about 100 ms.
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -16,6 +16,7 @@
 	"example.com/dotterelwell/internal/link/pathfinder"
 	"example.com/dotterelwell/internal/link/splitter"
 	"example.com/dotterelwell/internal/link/transporter"
+	"example.com/dotterelwell/internal/link/tunneler"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -92,8 +93,12 @@
 	if x.route.Delivery == routing.DeliveryOnce {
 		giveUp = nil
 	}
+	connectCtx := t.attemptCtx
+	if !x.repeatable() {
+		connectCtx = tunneler.WithoutCut(connectCtx)
+	}
 	t.observed = x.Observer.Start(slot.Server.Incarnation(), x.work, giveUp)
-	answer, err := x.Transporter.Send(t.attemptCtx, call)
+	answer, err := x.Transporter.Send(connectCtx, call)
 	t.headLatency = x.Clock.Now() - t.started
 	if err != nil {
 		reportFirstByte(0, false)
