--- a/internal/link/dialer/socket.go
+++ b/internal/link/dialer/socket.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -44,3 +45,9 @@
 	}
 	return setErr
 }
+
+// IsTimeout reports whether an error is a time-out of the network: the other end did not answer, rather than refuse.
+func IsTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/link/pathfinder/pathfinder.go
+++ b/internal/link/pathfinder/pathfinder.go
@@ -8,11 +8,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
 
+	"example.com/dotterelwell/internal/link/dialer"
 	"example.com/dotterelwell/internal/link/tunneler"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
@@ -170,7 +170,7 @@
 				cancel()
 				go discard(results, pending)
 				if r.viaTunnel {
-					p.recordLost(server, directErr == nil || isTimeout(directErr))
+					p.recordLost(server, directErr == nil || dialer.IsTimeout(directErr))
 				}
 				p.endAsking(server, asked)
 				return r.conn, nil
@@ -184,7 +184,7 @@
 	}
 	cancel()
 	if asked && ctx.Err() == nil {
-		p.recordUnreached(server, isTimeout(directErr), peersErr)
+		p.recordUnreached(server, dialer.IsTimeout(directErr), peersErr)
 	}
 	p.endAsking(server, asked)
 	return nil, directErr
@@ -221,11 +221,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // CarryContext opens a direct connection to a server for a peer. It fails at once if this instance has lately not
 // reached the server.
 func (p *Pathfinder) CarryContext(ctx context.Context, _, address string) (net.Conn, error) {
--- a/internal/link/tunneler/tunneler.go
+++ b/internal/link/tunneler/tunneler.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"example.com/dotterelwell/internal/link/connector"
+	"example.com/dotterelwell/internal/link/dialer"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -208,17 +208,12 @@
 	if KindOf(err) != "" {
 		return nil, err
 	}
-	if isTimeout(err) {
+	if dialer.IsTimeout(err) {
 		return nil, fault.New(op, KindServerSilent, err)
 	}
 	return nil, fault.New(op, KindServerRefused, err)
 }
 
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 func (t *Tunneler) release() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/request/observer/observer.go
+++ b/internal/request/observer/observer.go
@@ -9,11 +9,11 @@
 	"slices"
 	"sync"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/crash"
+	"example.com/dotterelwell/internal/link/dialer"
 	"example.com/dotterelwell/internal/link/pathfinder"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -147,8 +147,7 @@
 	case pathfinder.KindRefused:
 		return true
 	}
-	var timeout net.Error
-	return !errors.As(err, &timeout) || !timeout.Timeout()
+	return !dialer.IsTimeout(err)
 }
 
 func countStarting(victims []crash.Victim) int {
