Nothing is sent to a server for a caller that has left meanwhile

A connection that was opened just as its caller left got the request's first bytes. TestNothingIsSentAfterCancellation failed before.

--- a/internal/link/selector/selector.go
+++ b/internal/link/selector/selector.go
@@ -74,9 +74,9 @@
 	rankProven  rank = iota // it has connected lately, by itself or by a referral, while others could not
 	rankReaches             // it has connected lately, or says that it is not cut off
 	rankUnknown
-	rankStopping
-	rankFailed // it could not connect when it was last asked
-	rankNone   // its build doesn't know tunnels, or it says that it carries none
+	rankStopping // it is about to stop
+	rankFailed   // it could not connect when it was last asked
+	rankNone     // its build doesn't know tunnels, or it says that it carries none
 )
 
 // rank returns the rank of a peer. someFail is set if peers could not connect lately. A nil peerState is
--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -137,6 +137,10 @@
 	if err != nil {
 		return nil, fault.New(op, KindNotSent, err)
 	}
+	if err := ctx.Err(); err != nil {
+		_ = c.Close() // the caller has left while the connection was opened
+		return nil, fault.New(op, KindNotSent, err)
+	}
 	if call.RequestFunc != nil {
 		call.Request = call.RequestFunc(c.via)
 	}
--- a/internal/link/transporter/transporter_test.go
+++ b/internal/link/transporter/transporter_test.go
@@ -255,3 +255,27 @@
 		t.Errorf("request line %q", line)
 	}
 }
+
+// TestNothingIsSentAfterCancellation guards against a request reaching its server although the caller left while the connection was opened.
+func TestNothingIsSentAfterCancellation(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	near, far := net.Pipe()
+	defer far.Close()
+	tr := &transporter.Transporter{DialFunc: func(context.Context, string, string) (net.Conn, error) {
+		cancel()
+		return near, nil
+	}}
+	req, err := http.NewRequest(http.MethodGet, "http://10.0.0.1/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := make(chan int, 1)
+	go func() {
+		n, _ := far.Read(make([]byte, 1)) // 0 if the connection is closed
+		sent <- n
+	}()
+	_, err = tr.Send(ctx, transporter.Call{Address: "10.0.0.1:80", Request: req})
+	if n := <-sent; n > 0 || transporter.KindOf(err) != transporter.KindNotSent {
+		t.Errorf("%d bytes were sent, error %v", n, err)
+	}
+}
