Few questions of peers in calm, so that crashes of many servers don't load the fleet

While direct connections succeed and no link is lost, an instance now asks twice a second at most; without them, or with a lost link, as before. TestFewQuestionsInCalm.

--- a/internal/link/pathfinder/link.go
+++ b/internal/link/pathfinder/link.go
@@ -187,13 +187,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.linkTo(server)
-	if l.asking || l.isDown(p.Clock.Now()) && !again {
+	now := p.Clock.Now()
+	if l.asking || l.isDown(now) && !again || !p.mayAsk(now) {
 		return false
 	}
 	l.asking = true
 	return true
 }
 
+// mayAsk counts a question of peers, and reports whether it is within maxCalmAsks. The lock must be held.
+func (p *Pathfinder) mayAsk(now clock.Millis) bool {
+	if p.cut.lost > 0 || now-p.cut.directAt >= calmTime {
+		return true
+	}
+	if now-p.calmAskedAt >= clock.Second {
+		p.calmAsks, p.calmAskedAt = 0, now
+	}
+	p.calmAsks++
+	return p.calmAsks <= maxCalmAsks
+}
+
 // endAsking ends what startAsking has begun, if it has.
 func (p *Pathfinder) endAsking(server ident.Address, asked bool) {
 	if !asked {
--- a/internal/link/pathfinder/pathfinder.go
+++ b/internal/link/pathfinder/pathfinder.go
@@ -54,6 +54,11 @@
 	// downTimeout is how long a server that refused this instance and its peers counts as down: peers are
 	// not asked again.
 	downTimeout = 1 * clock.Second
+	// maxCalmAsks bounds the questions in each second while this instance has opened a direct connection
+	// within calmTime and has lost no link: then most servers that fail are down, and when many are at
+	// once, the questions of all instances would load them.
+	maxCalmAsks = 2
+	calmTime    = 1 * clock.Second
 	// minLost is how many links must be lost, without a direct connection since, for the instance to
 	// count as cut off.
 	minLost = 2
@@ -79,6 +84,9 @@
 	links  map[ident.Address]*link
 	probes int
 	cut    cut
+	// calmAsks is the number of questions in calm in the second from calmAskedAt on.
+	calmAsks    int
+	calmAskedAt clock.Millis
 	// sweptAt is when links were last forgotten that have not been used for a while.
 	sweptAt clock.Millis
 }
--- a/internal/link/pathfinder/pathfinder_test.go
+++ b/internal/link/pathfinder/pathfinder_test.go
@@ -174,6 +174,27 @@
 	}
 }
 
+// TestFewQuestionsInCalm guards against instances that load one another with questions when many servers crash at once, while others are reached.
+func TestFewQuestionsInCalm(t *testing.T) {
+	run(t, opens, refuses, func(w *world, p *pathfinder.Pathfinder) {
+		p.DialFunc = func(ctx context.Context, network, at string) (net.Conn, error) {
+			if at == address(0) {
+				return w.dial(ctx, network, at)
+			}
+			return nil, errors.New("connection refused")
+		}
+		const seconds = 5
+		for began := time.Now(); time.Since(began) < seconds*time.Second; time.Sleep(100 * time.Millisecond) {
+			for n := range 40 {
+				_, _ = p.DialContext(context.Background(), "tcp", address(n)) // all but the first are down
+			}
+		}
+		if asked := w.peerAsks.Load(); asked > 2*seconds+2 {
+			t.Errorf("peers were asked %d times in %d s", asked, seconds)
+		}
+	})
+}
+
 // TestStateIsBounded guards against the state of links growing without end with the servers that come and go.
 func TestStateIsBounded(t *testing.T) {
 	run(t, refuses, opens, func(_ *world, p *pathfinder.Pathfinder) {
