Read-through: one lookup of a server's incarnation, dead code of the tunnels

MergeDeparting, MergeLimits and MergePauses each compared the incarnation of a row; rowOf does. Full was called nowhere, and a tunnel's end has no method that its reader would have to hide.

--- a/internal/link/tunneler/conn.go
+++ b/internal/link/tunneler/conn.go
@@ -138,7 +138,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, _ = io.CopyBuffer(plainWriter{server}, plainReader{peer}, make([]byte, bufferBytes)) // whoever has closed knows why
+		_, _ = io.CopyBuffer(plainWriter{server}, peer, make([]byte, bufferBytes)) // whoever has closed knows why
 		_ = server.Close()
 	}()
 	end = passAnswer(peer, server)
@@ -172,8 +172,5 @@
 	}
 }
 
-// plainReader and plainWriter hide methods by which io.CopyBuffer would not use its buffer.
-type (
-	plainReader struct{ io.Reader }
-	plainWriter struct{ io.Writer }
-)
+// plainWriter hides the method by which io.CopyBuffer would not use its buffer.
+type plainWriter struct{ io.Writer }
--- a/internal/link/tunneler/tunneler.go
+++ b/internal/link/tunneler/tunneler.go
@@ -128,9 +128,6 @@
 	return t.carried
 }
 
-// Full reports whether this instance has no room for another tunnel.
-func (t *Tunneler) Full() bool { return t.Carried() >= t.Limit }
-
 // Open opens a connection to a server through the peer at an address. The reply tells of the peer also if
 // there is an error.
 func (t *Tunneler) Open(ctx context.Context, peer ident.Instance, at, server ident.Address) (conn *Conn, reply OpenReply, err error) {
--- a/internal/machine/roster/advice.go
+++ b/internal/machine/roster/advice.go
@@ -122,8 +122,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, incarnation := range incarnations {
-		held := r.rows[incarnation.ID]
-		if held != nil && held.info.Incarnation() == incarnation {
+		if held := r.rowOf(incarnation); held != nil {
 			r.markDeparting(held, "a peer")
 			continue
 		}
@@ -167,7 +166,7 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	for _, report := range reports {
-		if w := r.rows[report.Server.ID]; w != nil && w.info.Incarnation() == report.Server && report.Left > 0 {
+		if w := r.rowOf(report.Server); w != nil && report.Left > 0 {
 			w.pausedUntil = max(w.pausedUntil, now+report.Left)
 		}
 	}
--- a/internal/machine/roster/limit.go
+++ b/internal/machine/roster/limit.go
@@ -150,8 +150,8 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	for _, reported := range reports {
-		w := r.rows[reported.Server.ID]
-		if w == nil || w.info.Incarnation() != reported.Server {
+		w := r.rowOf(reported.Server)
+		if w == nil {
 			continue // the peer repeats the report while the server has a limit
 		}
 		before := w.limit()
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -296,6 +296,14 @@
 	return n
 }
 
+// rowOf returns the row of one incarnation of a server, or nil. The lock must be held.
+func (r *Roster) rowOf(incarnation backend.Incarnation) *row {
+	if held := r.rows[incarnation.ID]; held != nil && held.info.Incarnation() == incarnation {
+		return held
+	}
+	return nil
+}
+
 // HasServers reports whether the table holds any server.
 func (r *Roster) HasServers() bool {
 	r.mu.Lock()
