--- a/internal/contract/routing/routing.go
+++ b/internal/contract/routing/routing.go
@@ -122,6 +122,13 @@
 	Models      []Model
 }
 
+// Scaling bounds the number of a service's servers in each availability zone.
+type Scaling struct {
+	Min, Max int
+	// Startup is how long a server that was ordered takes until it serves.
+	Startup clock.Millis
+}
+
 // Service is a group of backend servers.
 type Service struct {
 	Name       declaration.ServiceName
@@ -135,6 +142,8 @@
 	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// Scaling is nil for a service whose servers are not ordered by the router.
+	Scaling *Scaling
 }
 
 // Workspace is a customer with the API keys of its callers.
