Servers get the request target byte for byte, and routes are selected by it

The same bytes now select the route and are sent; a target without a path gets 400, and OPTIONS * no longer a success of its own.

--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -24,8 +24,8 @@
 	ID     ident.Request
 	Method string
 	Host   string
-	// Path is the decoded path that selects the route; Target is the path with its
-	// query exactly as the caller sent it.
+	// Target is the path with its query exactly as the caller sent it. Path is its part before the
+	// query, as the server sees it, and selects the route.
 	Path, Target string
 	// Header holds the headers that are forwarded to the backend server.
 	Header http.Header
--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -173,7 +173,7 @@
 			return nil, err
 		}
 	}
-	err := call.Request.Write(c.writer)
+	err := writeRequest(c.writer, call.Request)
 	if err == nil {
 		err = c.writer.Flush()
 	}
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -61,6 +61,8 @@
 			ConnState: track,
 			Handler:   handler, ReadHeaderTimeout: headerTimeout.Duration(), MaxHeaderBytes: maxHeaderBytes,
 			BaseContext: func(net.Listener) context.Context { return requests },
+			// "OPTIONS *" would get a success without any server.
+			DisableGeneralOptionsHandler: true,
 		}
 		group.Add(func() error { return serveHTTP(server, l) }, func(error) { _ = server.Close() })
 	}
