Callers that pause reading keep their answers

TCP_USER_TIMEOUT on the callers' connections ends a connection whose other end acknowledges everything and keeps its window closed. Connections to servers and peers are unchanged.

--- a/internal/link/dialer/socket.go
+++ b/internal/link/dialer/socket.go
@@ -34,7 +34,8 @@
 }
 
 // Control sets TCP_USER_TIMEOUT on a socket, so that a connection fails when sent bytes stay
-// unacknowledged for unackedTimeout. Connections inherit the option from their listener.
+// unacknowledged for unackedTimeout. Connections inherit the option from their listener. It also ends a connection
+// whose other end acknowledges everything and doesn't read for that long, so it is not for callers.
 func Control(_, _ string, raw syscall.RawConn) error {
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -127,6 +127,8 @@
 type Outside struct {
 	DialFunc   func(ctx context.Context, network, address string) (net.Conn, error)
 	ListenFunc func(address ident.Address) (net.Listener, error)
+	// ListenCallersFunc listens on the callers' address; nil for ListenFunc.
+	ListenCallersFunc func(address ident.Address) (net.Listener, error)
 }
 
 // New builds an instance. The returned function gives up what it holds; call it after
@@ -136,7 +138,10 @@
 		outside.DialFunc = dialer.TCP.DialContext
 	}
 	if outside.ListenFunc == nil {
-		outside.ListenFunc = listen
+		outside.ListenFunc, outside.ListenCallersFunc = listen, listenCallers
+	}
+	if outside.ListenCallersFunc == nil {
+		outside.ListenCallersFunc = outside.ListenFunc
 	}
 	h := &Host{
 		Profile: p, outside: outside, bounds: p.Bounds, Clock: &clock.Clock{}, Meter: meter.New(),
@@ -370,7 +375,16 @@
 }
 
 func listen(address ident.Address) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: dialer.KeepAlive, Control: dialer.Control}
+	return listenWith(net.ListenConfig{KeepAliveConfig: dialer.KeepAlive, Control: dialer.Control}, address)
+}
+
+// listenCallers listens without TCP_USER_TIMEOUT, which also ends a connection whose caller is alive and doesn't
+// read for that long. platform.Ingress bounds how long a write may take.
+func listenCallers(address ident.Address) (net.Listener, error) {
+	return listenWith(net.ListenConfig{KeepAliveConfig: dialer.KeepAlive}, address)
+}
+
+func listenWith(config net.ListenConfig, address ident.Address) (net.Listener, error) {
 	l, err := config.Listen(context.Background(), "tcp", string(address))
 	if err != nil {
 		return nil, fault.New("listen", KindListen, err)
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -38,7 +38,7 @@
 // Run serves until ctx ends and then stops gracefully: it turns unready, answers
 // every request, and cuts only streams that would outlast the grace period.
 func (h *Host) Run(ctx context.Context, reload <-chan profile.Profile) error {
-	callers, err := h.outside.ListenFunc(h.Profile.CallerAddress)
+	callers, err := h.outside.ListenCallersFunc(h.Profile.CallerAddress)
 	if err != nil {
 		return err
 	}
