A silent server at work keeps its attempt; a second one runs beside it

Now the attempt goes on, another is started beside it within attempts, retry budget and room, and the first whole answer counts; a server that was overtaken still counts as silent. At most a quarter of an instance's requests have such attempts, so that slow servers don't get twice the work.

--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -91,6 +91,9 @@
 
 	slotFreed   notifier
 	stateLoaded atomic.Bool
+	// wholeRequests counts the requests whose answers are read whole and that may have several attempts at
+	// once, and hedges their attempts beside a silent one.
+	wholeRequests, hedges atomic.Int64
 }
 
 // AttemptOutcome describes how one attempt ended.
@@ -149,9 +152,11 @@
 
 	sends         int  // requests sent to servers, whether or not the servers ran them
 	attemptFailed bool // an earlier attempt ended with ResultError or ResultLost
-	excluded      []ident.Server
-	mayHaveRun    bool // a server may have run the request
-	log           attemptLog
+	// answered is set when another attempt, beside which this one ran, has answered; nil if none may.
+	answered   *atomic.Bool
+	excluded   []ident.Server
+	mayHaveRun bool // a server may have run the request
+	log        attemptLog
 	// bodyReleases release the memory of the buffered answer bodies.
 	bodyReleases []func()
 	// savedHead and savedBody hold the latest 5xx answer of a server, which is forwarded if no
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -221,6 +221,9 @@
 		result, detail = roster.ResultUnreachable, "misdirected"
 	}
 	t.observed.End(t.observedEnd(result, err))
+	if t.overtaken(result) {
+		result, detail = roster.ResultLost, "silent"
+	}
 	t.cancel()
 	t.slot.Release(result)
 	t.log.add(attemptRecord{server: t.slot.Server.ID, model: t.model, result: result, detail: detail, via: t.via, headLatency: t.headLatency, took: t.Clock.Now() - t.started})
@@ -231,6 +234,11 @@
 	t.execution.attemptFailed = t.execution.attemptFailed || result == roster.ResultError || result == roster.ResultLost
 }
 
+// overtaken reports whether the attempt was given up because one that started hedgeDelay later has answered.
+func (t *activeAttempt) overtaken(result roster.Result) bool {
+	return result == roster.ResultAbandoned && t.answered != nil && t.answered.Load() && t.Clock.Now()-t.started >= t.hedgeDelay()
+}
+
 // observedEnd classifies the end of an attempt for the Observer. err is the error that ended it.
 func (t *activeAttempt) observedEnd(result roster.Result, err error) observer.End {
 	switch {
@@ -308,76 +316,9 @@
 	return min(max(priority, 0), 9)
 }
 
-// serveWhole runs a request whose answer is buffered and forwarded as a whole.
-func (x *execution) serveWhole() *message.Refusal {
-	once := x.route.Delivery == routing.DeliveryOnce
-	unsent := 0
-	for {
-		slot, refusal := x.acquire()
-		if refusal != nil {
-			return x.forwardSaved(refusal)
-		}
-		t, v, err := x.send(slot, once, x.headTimeout())
-		var body []byte
-		if v == verdictForward || v == verdictError {
-			var bodyErr error
-			if body, bodyErr = t.body(); bodyErr != nil {
-				v, err = verdictLost, bodyErr
-			}
-		}
-		t.complete = v == verdictForward
-		t.end(resultByVerdict[v], t.describe(err), err)
-		if v == verdictForward {
-			return x.forward(&t.head, body)
-		}
-		if x.ctx.Err() != nil {
-			return x.forwardSaved(x.contextRefusal())
-		}
-		switch v {
-		case verdictUnsent:
-			if unsent++; unsent >= maxUnsentAttempts {
-				return x.forwardSaved(x.refuseUnserved(err))
-			}
-			x.excludeServer(slot.Server.ID)
-			continue
-		case verdictError:
-			x.savedHead, x.savedBody = &t.head, body
-			if once {
-				return x.forwardSaved(nil)
-			}
-		case verdictLost:
-			if once {
-				return x.refuseUnserved(err)
-			}
-		}
-		x.excludeServer(slot.Server.ID)
-		if !x.takeRetry() {
-			return x.forwardSaved(x.refuseUnserved(err))
-		}
-	}
-}
-
 // excludeServer keeps the request from being sent to a server again.
 func (x *execution) excludeServer(id ident.Server) { x.excluded = append(x.excluded, id) }
 
-// hedgeFactor/hedgeDivisor, which is 2.5, is the multiple of the route's first-byte target
-// after which a request without an answer is given up and sent to another server.
-// minHedgeDelay is the lower bound of that delay.
-const (
-	hedgeFactor                = 5
-	hedgeDivisor               = 2
-	minHedgeDelay clock.Millis = 200
-)
-
-// headTimeout returns the bound of the wait for the answer's head while the request may
-// still be sent to another server. Zero means that only the deadline applies.
-func (x *execution) headTimeout() clock.Millis {
-	if x.route.Delivery != routing.DeliveryIdempotent || x.sends+1 >= x.route.MaxAttempts {
-		return 0
-	}
-	return max(x.route.FirstByteTarget*hedgeFactor/hedgeDivisor, minHedgeDelay)
-}
-
 // forward passes a whole answer to the caller.
 func (x *execution) forward(head *message.Head, body []byte) *message.Refusal {
 	if err := x.sink.CompleteFunc(head, body); err != nil {
