Prompt parts have stable homes, are copied where that pays, and are told of

A home was the best of the servers that may take a request now, and moved whenever its server was full, cold or avoided for a moment; what a server was sent was known to one instance only.

--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -98,6 +98,9 @@
 	// After is the identifier of the last event already received; a resumed stream
 	// continues after it.
 	After string
+	// CopyFrom is the address of the server from which Server is to copy the parts of the prompt that it lacks,
+	// instead of reading them; empty for none.
+	CopyFrom ident.Address
 }
 
 // NoConfidence is the value of Head.Confidence if the model reports none.
--- a/internal/contract/routing/routing.go
+++ b/internal/contract/routing/routing.go
@@ -119,7 +119,10 @@
 	CacheTokens int
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
-	Models      []Model
+	// CopyMsPerToken is how long an engine takes to copy one token's memory from another one, in milliseconds;
+	// zero if it can't.
+	CopyMsPerToken float64
+	Models         []Model
 }
 
 // Scaling bounds the number of a service's servers in each availability zone.
@@ -146,6 +149,15 @@
 	Scaling *Scaling
 }
 
+// CopyTime returns how long a server takes to copy the memory of prompt tokens from another one, in milliseconds;
+// zero if it can't.
+func (s *Service) CopyTime(tokens int) float64 {
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	return s.Engine.CopyMsPerToken * float64(tokens)
+}
+
 // Workspace is a customer with the API keys of its callers.
 type Workspace struct {
 	Name declaration.WorkspaceName
--- a/internal/link/gossiper/builds_test.go
+++ b/internal/link/gossiper/builds_test.go
@@ -53,7 +53,9 @@
 		Departing: []backend.Incarnation{{ID: "i-2", Born: 1000}},
 		Tunnels:   tunneler.Report{Carries: true, Carried: 3, CutOff: true, Carriers: []ident.Instance{"front-b"}},
 		Pauses:    []roster.PauseReport{{Server: backend.Incarnation{ID: "i-2"}, Left: 300}},
+		Parts:     []byte{1, 2, 3},
 	}
+	sent.Loads["i-3"] = roster.Load{Pace: 50, Paces: 2}
 	var raw bytes.Buffer
 	if err := gob.NewEncoder(&raw).Encode(sent); err != nil {
 		t.Fatal(err)
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -72,6 +72,8 @@
 	Cleared []crash.Clearing
 	// Quarantine holds the prompt parts and requests under which servers crash.
 	Quarantine []quarantiner.Entry
+	// Parts tells to which servers shared prompt parts were sent. Builds without it leave it empty.
+	Parts []byte
 	// Tallies holds the sender's evidence that the recipient collects.
 	Tallies []tallier.Entry
 }
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -203,7 +203,7 @@
 	}
 	return gossiper.Message{
 		Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing(), Limits: h.Roster.LimitReports(),
-		Tunnels: h.tunnelReport(), Pauses: h.Roster.PauseReports(),
+		Tunnels: h.tunnelReport(), Pauses: h.Roster.PauseReports(), Parts: h.Roster.PartDigest(),
 		Crashes: h.Observer.Reports(), Inquiry: h.inquiry(), Cleared: h.Observer.Cleared(), Quarantine: h.Quarantiner.Entries(),
 	}
 }
@@ -220,6 +220,7 @@
 	h.Roster.MergeDeparting(n.Departing)
 	h.Roster.MergeLimits(n.Limits)
 	h.Roster.MergePauses(n.Pauses)
+	h.Roster.MergeParts(n.Parts)
 	h.Selector.Merge(n.From, n.Tunnels)
 	h.Stager.Merge(n.Stages)
 	h.mergeCrashes(n)
--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -151,6 +151,9 @@
 		Clock: h.Clock, Instance: h.Profile.Instance, Zone: h.Profile.Zone,
 		ViewFunc: h.Curator.View, DecodeFunc: platform.DecodeServer, OutageEndedAtFunc: servers.OutageEndedAt,
 		InstancesFunc: h.Enlister.Names, CountedFunc: h.Enlister.Counted, ColdRateFunc: h.coldRate,
+		OnPart: func(service declaration.ServiceName, use roster.PartUse) {
+			h.Meter.SharedParts.WithLabelValues(string(service), string(use)).Inc()
+		},
 		OnLimitedSend: func(service declaration.ServiceName) { h.Meter.LimitedSends.WithLabelValues(string(service)).Inc() },
 		OnFreed:       func() { h.Runner.WakeWaiters() },
 	}
--- a/internal/machine/meter/meter.go
+++ b/internal/machine/meter/meter.go
@@ -44,6 +44,8 @@
 	Overruns *prometheus.CounterVec
 	// LimitedSends counts requests to backend servers that named a rate limit, by service.
 	LimitedSends *prometheus.CounterVec
+	// SharedParts counts requests with a shared prompt part by service and by what their server is expected to do about it.
+	SharedParts *prometheus.CounterVec
 	// VersionsBad counts versions that this instance found bad.
 	VersionsBad prometheus.Counter
 
@@ -65,6 +67,7 @@
 	m.Claims = m.vector("claims_total", "Decided claims by result.", "result")
 	m.Overruns = m.vector("answer_overruns_total", "Answers of backend servers that exceeded a bound, by the bound.", "bound")
 	m.LimitedSends = m.vector("limited_sends_total", "Requests to backend servers that named a rate limit, by service.", "service")
+	m.SharedParts = m.vector("shared_parts_total", "Requests with a shared prompt part, by service and what their server is expected to do about it: it was sent the part before, is its home, copies it, or reads it.", "service", "use")
 	m.Resumes = m.counter("stream_resumes_total", "Streams that were resumed.")
 	m.DroppedFrames = m.counter("dropped_frames_total", "Frames that belonged to another request.")
 	m.BillsWritten = m.counter("bills_written_total", "Bill records that became durable.")
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -36,6 +36,9 @@
 	// SharedWork and OwnWork are the estimated server times, in milliseconds, for processing
 	// the shared part and the rest of the prompt.
 	SharedWork, OwnWork float64
+	// CopyWork is how long a server takes to copy the shared part from another server, in milliseconds; zero if
+	// the service's servers can't.
+	CopyWork float64
 	// SideFunc chooses the releases that may take the request under the current roll-out
 	// order. If strict is false, another side may be used when the chosen one has no usable
 	// server.
@@ -50,6 +53,8 @@
 	Server backend.Server
 	// OnTargetRelease is set when the server runs the target release of the current roll-out.
 	OnTargetRelease bool
+	// CopyFrom is the address of the server from which Server is to copy the shared part; empty for none.
+	CopyFrom ident.Address
 
 	roster     *Roster
 	row        *row
@@ -85,19 +90,22 @@
 	if len(r.scratch) == 0 {
 		return nil, fault.Newf(op, KindFull, "none of %d servers of %s may take a request now", alive, want.Service)
 	}
-	chosen, work := r.choose(want, now)
-	chosen.inFlight++
-	chosen.pending += work
-	chosen.recordStart(now)
-	r.useLimit(chosen, now)
-	if want.SharedPart != "" {
-		r.placements.record(affinityHash.HashName(want.SharedPart), chosen, now)
-	}
-	trial := chosen.pausedUntil > 0
-	chosen.trial = chosen.trial || trial
+	chosen := r.choose(want, now)
+	w := chosen.row
+	w.inFlight++
+	r.recordPlacement(want, chosen, now)
+	w.pending += chosen.work
+	w.recordStart(now)
+	r.useLimit(w, now)
+	trial := w.pausedUntil > 0
+	w.trial = w.trial || trial
 	order, ordered := view.Rollouts[want.Service]
-	onTarget := ordered && order.Target == chosen.info.Release
-	return &Slot{Server: chosen.info, OnTargetRelease: onTarget, roster: r, row: chosen, acquiredAt: now, work: work, trial: trial}, nil
+	onTarget := ordered && order.Target == w.info.Release
+	slot := &Slot{Server: w.info, OnTargetRelease: onTarget, roster: r, row: w, acquiredAt: now, work: chosen.work, trial: trial}
+	if chosen.source != nil {
+		slot.CopyFrom = chosen.source.info.Address
+	}
+	return slot, nil
 }
 
 // Estimate returns, in milliseconds, how long a request would wait at the server that would be
@@ -110,8 +118,9 @@
 	if r.gather(r.ViewFunc(), want, now) == 0 || len(r.scratch) == 0 {
 		return 0, 0, false
 	}
-	w, work := r.choose(want, now)
-	return w.estimatedWait(now) + requestCost*float64(w.inFlight+w.peers.Requests), work, true
+	chosen := r.choose(want, now)
+	w := chosen.row
+	return w.estimatedWait(now) + requestCost*float64(w.inFlight+w.peers.Requests), chosen.work, true
 }
 
 // gather fills scratch with the servers that may take the request, and returns how many
@@ -140,6 +149,8 @@
 func (r *Roster) gatherSide(g *group, view *curator.View, want Want, now clock.Millis, side Side) int {
 	order, ordered := view.Rollouts[want.Service]
 	alive := 0
+	part, totalWait := partOf(want), 0.0
+	r.homes.Reset()
 	r.leftOut = leftOut{}
 	fleet := r.fleet()
 	for _, w := range g.rows {
@@ -153,6 +164,10 @@
 			continue
 		}
 		alive++
+		if part != 0 {
+			r.homes.Offer(w, affinityHash.ScoreHashes(uint64(part), w.idHash))
+			totalWait += w.estimatedWait(now)
+		}
 		switch {
 		case slices.Contains(want.Exclude, w.info.ID):
 		case w.paused(now):
@@ -167,6 +182,7 @@
 			r.scratch = append(r.scratch, w)
 		}
 	}
+	r.meanWait = totalWait / float64(max(alive, 1))
 	r.preferHealthy(now)
 	return alive
 }
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -17,6 +17,8 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/load/gauger"
+	"example.com/dotterelwell/internal/load/locator"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -87,6 +89,9 @@
 	// OnLimitedSend, when set, is called with the table's lock held when a request is to be sent
 	// to a server that names a rate limit.
 	OnLimitedSend func(service declaration.ServiceName)
+	// OnPart, when set, is called with the table's lock held when a request with a shared part is to be sent to a
+	// server, with what the server is expected to do about the part.
+	OnPart func(service declaration.ServiceName, use PartUse)
 	// OnFreed, when set, is called without the lock when a server may have become usable.
 	OnFreed func()
 
@@ -98,10 +103,17 @@
 	// departures holds the incarnations of servers that said in an answer, to this instance
 	// or to a peer, that they are leaving.
 	departures map[backend.Incarnation]bool
-	// placements records which servers were sent which shared prompt parts; decision numbers
-	// the choices of a server that involve a shared part.
-	placements placements
-	decision   uint64
+	// locator records which servers were sent which shared prompt parts, holders finds their rows, and homes
+	// holds the homes of the current choice's part; decision numbers the choices.
+	locator  locator.Locator
+	holders  map[locator.Holder]*row
+	homes    locator.Homes[*row]
+	located  []locator.Placement
+	decision uint64
+	// meanWait is the mean estimated wait, in milliseconds, at the servers in service of the current choice.
+	meanWait float64
+	// means holds the mean pace of each model.
+	means map[string]*gauger.Mean
 	// scratch holds the candidates of the current choice; it is reused to avoid allocations.
 	scratch []*row
 	// leftOut tells why gather left out servers.
@@ -130,6 +142,7 @@
 	if r.rows == nil {
 		r.rows = map[ident.Server]*row{}
 		r.services = map[declaration.ServiceName]*group{}
+		r.holders = map[locator.Holder]*row{}
 	}
 	first := len(r.rows) == 0
 	for _, o := range objects {
@@ -184,6 +197,7 @@
 	klog.InfoS("Server is gone", "server", held.info.ID, "service", held.info.Service, "in-flight", held.inFlight)
 	held.info.Leaving = true
 	delete(r.rows, held.info.ID)
+	delete(r.holders, held.holder)
 	g := r.services[held.info.Service]
 	g.rows = slices.DeleteFunc(g.rows, func(other *row) bool { return other == held })
 }
@@ -197,6 +211,7 @@
 	if held == nil {
 		held = r.restoreOrNewRow(server)
 		r.rows[server.ID] = held
+		r.holders[held.holder] = held
 		g := r.services[server.Service]
 		if g == nil {
 			g = &group{releases: map[backend.Release]clock.Millis{}}
@@ -237,7 +252,7 @@
 	held := r.vanished[incarnation]
 	delete(r.vanished, incarnation)
 	if held == nil || held.info.Service != server.Service {
-		held = &row{idHash: affinityHash.HashName(string(server.ID))}
+		held = &row{idHash: affinityHash.HashName(string(server.ID)), holder: holderOf(incarnation)}
 	}
 	held.departing = r.departures[incarnation]
 	return held
@@ -327,20 +342,6 @@
 	return others
 }
 
-// Loads returns the load that this instance puts on each server where it has requests in
-// flight.
-func (r *Roster) Loads() map[ident.Server]Load {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	loads := map[ident.Server]Load{}
-	for id, w := range r.rows {
-		if w.inFlight > 0 {
-			loads[id] = Load{Requests: w.inFlight, Pending: clock.Millis(w.pending)}
-		}
-	}
-	return loads
-}
-
 // SetPeerLoads sets the load that all other instances reported for each server; age is how
 // old the report is.
 func (r *Roster) SetPeerLoads(loads map[ident.Server]Load, age clock.Millis) {
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"example.com/dotterelwell/internal/contract/backend"
+	"example.com/dotterelwell/internal/load/gauger"
+	"example.com/dotterelwell/internal/load/locator"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/zone/rationer"
 )
@@ -35,8 +37,10 @@
 	info backend.Server
 	// releaseSeen is when this instance first saw the server's release in its service.
 	releaseSeen clock.Millis
-	// idHash is the hash of the server's identifier, for rendezvous hashing of prompt parts.
+	// idHash is the hash of the server's identifier, for rendezvous hashing of prompt parts, and holder that
+	// of its incarnation.
 	idHash   uint64
+	holder   locator.Holder
 	inFlight int
 	// pending is the estimated server time, in milliseconds, of this instance's requests to
 	// which the server has not begun to answer.
@@ -44,12 +48,15 @@
 	// peers is the load that other instances last reported for the server, as of peersAt.
 	peers   Load
 	peersAt clock.Millis
-	// cachedInDecision is the last decision whose shared prompt part the server probably
-	// still has in its cache.
-	cachedInDecision uint64
-	backoffUntil     clock.Millis
-	backoff          clock.Millis
-	fullUntil        clock.Millis
+	// locatedIn is the last decision whose shared prompt part the server was sent before, and partReadyAt from
+	// when on it is expected to keep that part. homeIn is the last decision of whose part it is a home.
+	locatedIn, homeIn uint64
+	partReadyAt       clock.Millis
+	// paces holds this instance's samples of the server's speed.
+	paces        gauger.Samples
+	backoffUntil clock.Millis
+	backoff      clock.Millis
+	fullUntil    clock.Millis
 	// failures is the moving share of failed requests as of failedAt.
 	failures float64
 	failedAt clock.Millis
@@ -156,6 +163,23 @@
 	// Pending is the estimated server time of those requests to which the server has not begun
 	// to answer.
 	Pending clock.Millis
+	// Paces is the number of samples of the server's speed, and Pace the sum of their deviations from the mean of its service
+	// in hundredths. Builds without them leave them zero.
+	Pace, Paces int
+}
+
+// paceScale is how many units of Load.Pace a deviation of 1 has.
+const paceScale = 100
+
+// slowness returns how many times as long as the average server of its service the server takes, by the samples of
+// all instances.
+func (w *row) slowness(now clock.Millis) float64 {
+	sum, count := w.paces.At(now)
+	if w.peers.Paces > 0 {
+		sum += float64(w.peers.Pace) / paceScale
+		count += float64(w.peers.Paces)
+	}
+	return gauger.Slowness(sum, count)
 }
 
 // estimatedWait estimates, in milliseconds, how long the server works on earlier prompts
--- a/internal/request/runner/acquire.go
+++ b/internal/request/runner/acquire.go
@@ -169,6 +169,7 @@
 		want.OwnWork = x.Predictor.PrefillTime(model, max(x.req.PromptTokens-shared, 0))
 		if part := x.req.SharedPrefix(); part != "" {
 			want.SharedPart = part + "/" + string(model)
+			want.CopyWork = x.view.Config.Services[x.service].CopyTime(shared)
 		}
 	}
 	if x.SideFunc != nil {
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -138,6 +138,7 @@
 	a := message.Attempt{
 		Request: t.req, Server: t.slot.Server, Model: t.model, After: t.lastEventID,
 		Timeout: t.deadline - t.Clock.Now() - responseMargin, Urgency: t.urgency(),
+		CopyFrom: t.slot.CopyFrom,
 	}
 	if t.workspace != nil {
 		a.Workspace = t.workspace.Name
