--- a/internal/link/gossiper/choice.go
+++ b/internal/link/gossiper/choice.go
@@ -32,6 +32,7 @@
 			chosen[p.Instance] = p
 		}
 	}
+	g.addHolder(chosen, peers)
 	random := randomPeersSmall
 	if g.InLargeFleet() {
 		random = randomPeersLarge
@@ -45,6 +46,20 @@
 	return slices.Collect(maps.Values(chosen))
 }
 
+// addHolder adds the instance that counts of requests are meant for in a small fleet. In a large one
+// they go through the watchers.
+func (g *Gossiper) addHolder(chosen map[ident.Instance]Peer, peers []Peer) {
+	if g.HolderFunc == nil || g.InLargeFleet() {
+		return
+	}
+	holder := g.HolderFunc()
+	for _, p := range peers {
+		if p.Instance == holder {
+			chosen[p.Instance] = p
+		}
+	}
+}
+
 // InLargeFleet reports whether the fleet is too large for all instances to be neighbours. In a
 // large fleet, only instances of the same zone are neighbours.
 func (g *Gossiper) InLargeFleet() bool { return len(g.PeersFunc()) >= minLargeFleet }
--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -16,8 +16,10 @@
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/duty/counter"
 	"example.com/dotterelwell/internal/link/connector"
 	"example.com/dotterelwell/internal/link/packer"
+	"example.com/dotterelwell/internal/link/timekeeper"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/version/tallier"
@@ -83,6 +85,13 @@
 	MessageFunc func() Message
 	// OnMessage, if set, is called with each message from a peer.
 	OnMessage func(Message)
+	// UsageFunc, if set, returns the counts of requests for a peer. asked is set for an answer.
+	UsageFunc func(peer Peer, asked bool) counter.Report
+	// Timekeeper, if set, learns the clocks of peers.
+	Timekeeper *timekeeper.Timekeeper
+	// HolderFunc, if set, returns the instance that counts of requests are meant for. In a small
+	// fleet all call it in each round.
+	HolderFunc func() ident.Instance
 
 	packer packer.Packer
 
@@ -163,12 +172,19 @@
 // the peer's reply.
 func (g *Gossiper) exchangeWith(ctx context.Context, p Peer, message Message) {
 	serial := g.addEvidence(&message, p.Instance)
+	if g.UsageFunc != nil {
+		message.Usage = g.UsageFunc(p, false)
+	}
 	var reply Message
+	began := g.Clock.Now()
 	err := g.call(ctx, p, "Exchange", message, &reply)
 	g.recordContact(p.Instance, err)
 	if err != nil {
 		return
 	}
+	if g.Timekeeper != nil {
+		g.Timekeeper.Record(p.Instance, reply.Incarnation, reply.Clock, began, g.Clock.Now())
+	}
 	g.mu.Lock()
 	if cursor := g.evidenceSent[p.Instance]; cursor.incarnation != reply.Incarnation {
 		serial = 0 // another incarnation of the peer, which has none of the evidence sent before
@@ -209,6 +225,9 @@
 func (g *Gossiper) message() Message {
 	message := g.MessageFunc()
 	message.From, message.Incarnation = g.Instance, g.Incarnation
+	if g.Timekeeper != nil {
+		message.Clock = g.Clock.Now()
+	}
 	g.Accountant.SetReported(message.Loads)
 	if g.InLargeFleet() && g.Watches(g.WatchedKind) {
 		isNeighbour := map[ident.Instance]bool{}
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -5,6 +5,8 @@
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/crash"
 	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/duty/counter"
+	"example.com/dotterelwell/internal/duty/leaser"
 	"example.com/dotterelwell/internal/link/packer"
 	"example.com/dotterelwell/internal/link/tunneler"
 	"example.com/dotterelwell/internal/machine/clock"
@@ -74,6 +76,13 @@
 	Quarantine []quarantiner.Entry
 	// Tallies holds the sender's evidence that the recipient collects.
 	Tallies []tallier.Entry
+	// Clock is the sender's clock, for a recipient that knows the length of the call; zero from
+	// builds without it.
+	Clock clock.Millis
+	// Duties tells who holds the duties towards the platform.
+	Duties []leaser.Claim
+	// Usage holds the counts of requests that the sender knows of.
+	Usage counter.Report
 }
 
 // PullArgs are the arguments of Service.Pull: the kind of objects, and the store version after
--- a/internal/link/gossiper/service.go
+++ b/internal/link/gossiper/service.go
@@ -24,6 +24,9 @@
 	*reply = g.message()
 	for _, p := range g.PeersFunc() {
 		if p.Instance == args.From {
+			if g.UsageFunc != nil {
+				reply.Usage = g.UsageFunc(p, true)
+			}
 			go g.catchUp(context.Background(), p, args.Copies)
 		}
 	}
--- /dev/null
+++ b/internal/machine/host/duties.go
@@ -0,0 +1,171 @@
+package host
+
+import (
+	"context"
+	"net/http"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/duty"
+	"example.com/dotterelwell/internal/duty/counter"
+	"example.com/dotterelwell/internal/duty/leaser"
+	"example.com/dotterelwell/internal/duty/settler"
+	"example.com/dotterelwell/internal/link/gossiper"
+	"example.com/dotterelwell/internal/link/timekeeper"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/platform"
+)
+
+// dutyTimeout bounds a call of the platform for a duty.
+const dutyTimeout = 2 * clock.Second
+
+// duties are the parts of an instance that work for the whole fleet towards the platform. Without
+// such work in the settings all fields are nil.
+type duties struct {
+	platform   *duty.Platform
+	timekeeper *timekeeper.Timekeeper
+	leasers    map[duty.Name]*leaser.Leaser
+	counter    *counter.Counter
+	settler    *settler.Settler
+}
+
+// wireDuties builds what the settings' duties need.
+func (h *Host) wireDuties() {
+	if h.Profile.Duties.Address == "" || len(h.Profile.Duties.Names()) == 0 {
+		return
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: h.outside.DialFunc, MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	d := &h.duties
+	d.platform = platform.NewDutyPlatform(h.Profile.Duties.Address, client, dutyTimeout)
+	d.timekeeper = &timekeeper.Timekeeper{Clock: h.Clock}
+	h.Gossiper.Timekeeper = d.timekeeper
+	d.leasers = map[duty.Name]*leaser.Leaser{}
+	for _, name := range h.Profile.Duties.Names() {
+		d.leasers[name] = h.newLeaser(name)
+	}
+	if h.Profile.Duties.Has(duty.Metering) {
+		h.wireMetering()
+	}
+}
+
+func (h *Host) newLeaser(name duty.Name) *leaser.Leaser {
+	l := &leaser.Leaser{
+		Clock: h.Clock, Store: h.Store, Duty: name, Instance: h.Profile.Instance, Incarnation: h.tallier.Owner,
+		LeaseFunc:     func() clock.Millis { return h.currentBounds().Lease },
+		CandidateFunc: func() bool { return h.Gossiper.HoldsDuty(declaration.ServiceName(name)) },
+		TouchFunc:     h.touch,
+		StoppingFunc:  func() bool { return h.draining.Load() || !h.Enlister.Synced() },
+		OnSilent:      func(holder ident.Instance) { h.Gossiper.SendTo(context.Background(), holder) },
+		OnClaim: func(before ident.Instance) {
+			if before != "" && before != h.Profile.Instance {
+				h.Gossiper.SendTo(context.Background(), before)
+			}
+			h.Gossiper.SendToNeighbours(context.Background())
+		},
+	}
+	h.Meter.Gauge("duty_held_"+string(name), "1 while this instance holds the duty "+string(name)+".", func() float64 {
+		if _, held := l.Held(); held {
+			return 1
+		}
+		return 0
+	})
+	return l
+}
+
+// touch returns the share of the instances that this one reaches.
+func (h *Host) touch() float64 {
+	_, share := h.Gossiper.Reachable()
+	return share
+}
+
+func (h *Host) wireMetering() {
+	d := &h.duties
+	held := d.leasers[duty.Metering]
+	d.counter = &counter.Counter{
+		NowFunc: d.timekeeper.Now, LengthFunc: func() clock.Millis { return h.currentBounds().UsagePeriod },
+		Incarnation: h.tallier.Owner, Zone: h.Profile.Zone,
+	}
+	h.Gossiper.UsageFunc = h.usageFor
+	h.Gossiper.HolderFunc = h.meteringHolder
+	h.Runner.OnBegin = d.counter.Count
+	d.settler = &settler.Settler{
+		Clock: h.Clock, Store: h.Store, Platform: d.platform, HeldFunc: held.Held, OnSuperseded: held.Superseded,
+		NowFunc: d.timekeeper.Now, EndFunc: d.counter.End, PeriodFunc: d.counter.PeriodAt,
+		TotalFunc: func(p duty.Period) map[declaration.WorkspaceName]int { return d.counter.Total(p) },
+		FirstFunc: d.counter.First, ProgressFunc: d.counter.Progress, OnProgress: d.counter.NoteProgress,
+		TouchFunc: h.touch, LateFunc: func() clock.Millis { return h.currentBounds().UsageDelay },
+	}
+	gauge := func(name, help string, read func(settler.Stats) int) {
+		h.Meter.Gauge(name, help, func() float64 { return float64(read(d.settler.Stats())) })
+	}
+	gauge("usage_reports", "Usage reports that the platform acknowledged to this instance.", func(s settler.Stats) int { return s.Sent })
+	gauge("usage_reports_late", "Usage reports that were acknowledged after they were due.", func(s settler.Stats) int { return s.Late })
+	gauge("usage_reports_lost", "Periods whose usage could not be reported.", func(s settler.Stats) int { return s.Lost })
+	gauge("usage_backlog", "Periods whose usage is fixed and not reported yet.", func(s settler.Stats) int { return s.Backlog })
+	h.Meter.Gauge("clock_offset_seconds", "How far the median of the fleet's clocks is ahead of this instance's.", func() float64 { return d.timekeeper.Offset().Duration().Seconds() })
+}
+
+// meteringHolder returns the instance that holds the duty of metering, as far as this one knows.
+func (h *Host) meteringHolder() ident.Instance {
+	claim, _ := h.duties.leasers[duty.Metering].Claim()
+	return claim.Holder
+}
+
+// usageFor returns the counts that a message to a peer carries. Instances tell theirs to those that
+// they call in their zone, among them its watchers. A watcher tells its zone's to those of other
+// zones, and all to the holder. In a small fleet all tell theirs to whom they call.
+func (h *Host) usageFor(peer gossiper.Peer, asked bool) counter.Report {
+	c := h.duties.counter
+	report := counter.Report{Zone: h.Profile.Zone}
+	report.Fixed, report.Sent = c.Progress()
+	large := h.Gossiper.InLargeFleet()
+	holder := peer.Instance == h.meteringHolder()
+	if !asked && (!large || peer.Zone == h.Profile.Zone) || !large && holder {
+		report.Own = c.Own()
+	}
+	if !large || !h.Gossiper.Watches(h.Gossiper.WatchedKind) {
+		return report
+	}
+	switch {
+	case holder:
+		report.Sums = c.Sums(true)
+	case !asked && peer.Zone != h.Profile.Zone:
+		report.Sums = c.Sums(false)
+	}
+	return report
+}
+
+// claims returns what messages tell of duties.
+func (h *Host) claims() []leaser.Claim {
+	var claims []leaser.Claim
+	for _, l := range h.duties.leasers {
+		if claim, known := l.Claim(); known {
+			claims = append(claims, claim)
+		}
+	}
+	return claims
+}
+
+// mergeDuties takes in what a peer tells of duties and usage.
+func (h *Host) mergeDuties(n gossiper.Message) {
+	for _, claim := range n.Duties {
+		if l := h.duties.leasers[claim.Duty]; l != nil {
+			l.Merge(claim)
+		}
+	}
+	if h.duties.counter != nil {
+		h.duties.counter.Merge(n.Incarnation, n.Usage)
+	}
+}
+
+// dutyLoops returns what runs for duties.
+func (h *Host) dutyLoops() []func(context.Context) error {
+	var loops []func(context.Context) error
+	for _, l := range h.duties.leasers {
+		loops = append(loops, l.Run)
+	}
+	if h.duties.settler != nil {
+		loops = append(loops, h.duties.settler.Run)
+	}
+	return loops
+}
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -105,6 +105,7 @@
 	informers  map[storer.ObjectKind]*informer.Informer
 	tallier    *tallier.Tallier
 	accountant *accountant.Accountant
+	duties     duties
 	draining   atomic.Bool
 	// stopFrom is when a stopping instance takes no more long requests, and stopAt when it
 	// cuts what still runs, in milliseconds; zero until it is told to stop.
@@ -152,6 +153,7 @@
 	h.wireCrashes()
 	h.wireLinks()
 	h.wireRequests()
+	h.wireDuties()
 	return h, func() {
 		h.Transporter.Close()
 		h.Connector.Close()
@@ -205,6 +207,7 @@
 		Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing(), Limits: h.Roster.LimitReports(),
 		Tunnels: h.tunnelReport(), Pauses: h.Roster.PauseReports(),
 		Crashes: h.Observer.Reports(), Inquiry: h.inquiry(), Cleared: h.Observer.Cleared(), Quarantine: h.Quarantiner.Entries(),
+		Duties: h.claims(),
 	}
 }
 
@@ -223,6 +226,7 @@
 	h.Selector.Merge(n.From, n.Tunnels)
 	h.Stager.Merge(n.Stages)
 	h.mergeCrashes(n)
+	h.mergeDuties(n)
 }
 
 func (h *Host) wireRequests() {
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -84,6 +84,9 @@
 	loop(h.Enlister.Run)
 	loop(h.Gossiper.Run)
 	loop(h.housekeep)
+	for _, run := range h.dutyLoops() {
+		loop(run)
+	}
 	loop(func(ctx context.Context) error { return h.followReloads(ctx, reload) })
 	klog.InfoS("Instance started", "instance", h.Profile.Instance, "zone", h.Profile.Zone, "callers", h.Profile.CallerAddress, "peers", h.Profile.PeerAddress(), "metrics", h.Profile.MetricsAddress())
 	return group.Run()
--- a/internal/machine/profile/profile.go
+++ b/internal/machine/profile/profile.go
@@ -4,8 +4,10 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/duty"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -51,8 +53,46 @@
 	CacheSpan clock.Millis
 	// SessionGap is the longest pause between two requests of one session.
 	SessionGap clock.Millis
+	// Fenced tells that the platform refuses calls with a lower term than it has seen for the
+	// same duty.
+	Fenced bool
+	// Lease is the time within which a duty must not go to another instance and back, and Thaw
+	// how long a process that was paused may go on with what it had begun.
+	Lease, Thaw clock.Millis
+	// UsagePeriod is the length of the periods for which usage is reported. UsageError is the
+	// share by which a count may be wrong, and UsageDelay the time after the end of a period
+	// at which its report is due.
+	UsagePeriod clock.Millis
+	UsageError  float64
+	UsageDelay  clock.Millis
 }
 
+// Duties describes the calls to the platform that one instance makes for the whole fleet.
+type Duties struct {
+	// Address is where the platform takes the calls; empty if there are none.
+	Address ident.Address
+	// Metering and Scaling tell which duties there are.
+	Metering, Scaling bool
+	// CallsPerSecond is how many calls the platform takes in a second, and DutyCallsPerSecond
+	// how many of these for duties, of all instances together.
+	CallsPerSecond, DutyCallsPerSecond float64
+}
+
+// Names returns the duties.
+func (d *Duties) Names() []duty.Name {
+	var names []duty.Name
+	if d.Address != "" && d.Metering {
+		names = append(names, duty.Metering)
+	}
+	if d.Address != "" && d.Scaling {
+		names = append(names, duty.Scaling)
+	}
+	return names
+}
+
+// Has reports whether the instances have a duty.
+func (d *Duties) Has(name duty.Name) bool { return slices.Contains(d.Names(), name) }
+
 // Profile is what a process is told at its start.
 type Profile struct {
 	Instance ident.Instance
@@ -76,6 +116,7 @@
 	// LinkMbps is the bandwidth of the process's machine, in megabits a second.
 	LinkMbps float64
 	Bounds   Bounds
+	Duties   Duties
 }
 
 // Strength compares what instances can do for others, by the scarcer of processor and
@@ -115,5 +156,22 @@
 	if p.MemoryBytes <= 0 {
 		return fault.Newf(op, KindInvalid, "memory of %d bytes", p.MemoryBytes)
 	}
+	return p.checkDuties()
+}
+
+func (p *Profile) checkDuties() error {
+	const op = "check settings"
+	if p.Duties.Address == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(string(p.Duties.Address)); err != nil {
+		return fault.Newf(op, KindInvalid, "address %q for duties is not an IP address with a port", p.Duties.Address)
+	}
+	if len(p.Duties.Names()) > 0 && p.Bounds.Lease <= 0 {
+		return fault.Newf(op, KindInvalid, "lease of %d ms for duties", p.Bounds.Lease)
+	}
+	if p.Duties.Has(duty.Metering) && (p.Bounds.UsagePeriod <= 0 || p.Bounds.UsageDelay <= 0) {
+		return fault.Newf(op, KindInvalid, "usage periods of %d ms, due after %d ms", p.Bounds.UsagePeriod, p.Bounds.UsageDelay)
+	}
 	return nil
 }
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -81,6 +81,8 @@
 	// earlier attempt has failed. The Runner calls the returned function with the time to the
 	// first byte, or with found set to false if no answer began that can be forwarded.
 	OnAttemptStart func(attempt Attempt) (reportFirstByte func(firstByte clock.Millis, found bool))
+	// OnBegin, when set, is called once for each request, when a server's answer to it begins.
+	OnBegin func(workspace declaration.WorkspaceName)
 	// OnInterEventLatency, when set, is called once for each streamed answer that has
 	// latencySampleEvents events, with the mean time between these first events.
 	OnInterEventLatency func(attempt Attempt, gap clock.Millis)
@@ -151,6 +153,7 @@
 	attemptFailed bool // an earlier attempt ended with ResultError or ResultLost
 	excluded      []ident.Server
 	mayHaveRun    bool // a server may have run the request
+	begun         bool // OnBegin has been called
 	log           attemptLog
 	// bodyReleases release the memory of the buffered answer bodies.
 	bodyReleases []func()
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -122,6 +122,7 @@
 	v := x.classify(&t.head)
 	if v == verdictForward {
 		t.observed.Begin()
+		x.reportBegin()
 	}
 	t.recordAdvice()
 	if v == verdictForward && x.route.CacheAffine {
@@ -131,6 +132,15 @@
 	return t, v, nil
 }
 
+// reportBegin calls OnBegin at the first answer that begins.
+func (x *execution) reportBegin() {
+	if x.begun || x.OnBegin == nil || x.workspace == nil {
+		return
+	}
+	x.begun = true
+	x.OnBegin(x.workspace.Name)
+}
+
 // encode returns the request for a connection that is open. The time that it took to connect is no
 // longer left.
 func (t *activeAttempt) encode(via ident.Instance) *http.Request {
