--- a/internal/duty/counter/counter.go
+++ b/internal/duty/counter/counter.go
@@ -18,10 +18,10 @@
 
 const (
 	// tellSpan is how long after the end of a period its counts are told to peers.
-	tellSpan = 9 * clock.Second
-	// keepSpan is how long after the end of a period its counts are kept. It exceeds the time
-	// for which the store or the platform may be away.
-	keepSpan = 90 * clock.Second
+	tellSpan = 12 * clock.Second
+	// KeepSpan is how long after the end of a period its counts are kept, for a store that is
+	// away.
+	KeepSpan = 120 * clock.Second
 )
 
 // Counts holds the requests of each workspace.
@@ -99,7 +99,7 @@
 // expire forgets periods that ended long ago. The lock must be held.
 func (c *Counter) expire() {
 	now := c.NowFunc()
-	old := func(p duty.Period) bool { return c.End(p)+keepSpan < now }
+	old := func(p duty.Period) bool { return c.End(p)+KeepSpan < now }
 	maps.DeleteFunc(c.heard, func(p duty.Period, _ map[ident.Incarnation]zoneCounts) bool { return old(p) })
 	maps.DeleteFunc(c.sums, func(p duty.Period, _ map[declaration.ZoneName]Counts) bool { return old(p) })
 }
@@ -177,12 +177,12 @@
 	defer c.mu.Unlock()
 	c.fixed, c.sent = max(c.fixed, r.Fixed), max(c.sent, r.Sent)
 	for p, counts := range r.Own {
-		if c.told(p, now, keepSpan) {
+		if c.told(p, now, KeepSpan) {
 			c.countsOf(p, from, r.Zone).raise(counts)
 		}
 	}
 	for _, s := range r.Sums {
-		if !c.told(s.Period, now, keepSpan) {
+		if !c.told(s.Period, now, KeepSpan) {
 			continue
 		}
 		if c.sums == nil {
@@ -211,13 +211,14 @@
 	return total
 }
 
-// First returns the earliest period with counts, and false if there is none.
+// First returns the earliest period with counts that are still kept, and false if there is none.
 func (c *Counter) First() (duty.Period, bool) {
+	now := c.NowFunc()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	first, found := duty.Period(0), false
 	note := func(p duty.Period) {
-		if !found || p < first {
+		if c.told(p, now, KeepSpan) && (!found || p < first) {
 			first, found = p, true
 		}
 	}
--- a/internal/duty/leaser/leaser.go
+++ b/internal/duty/leaser/leaser.go
@@ -33,9 +33,11 @@
 	askAfter clock.Millis = 2000
 	// lonelySilence is the silence that an instance waits for that reaches few peers, and
 	// lonelySettle the time between its claim and its first call.
-	lonelySilence, lonelySettle = 8 * clock.Second, 7500 * clock.Millis(1)
+	lonelySilence, lonelySettle = 30 * clock.Second, 8 * clock.Second
 	// otherDelay is how much longer instances wait that the rendezvous choice doesn't name.
 	otherDelay = 3 * clock.Second
+	// awaySpan is how long the store may be away from the holder alone before it gives the duty up.
+	awaySpan clock.Millis = 2500
 	// storePause is the pause after a failed call of the store.
 	storePause = 1 * clock.Second
 	// holdTouch is the share of peers that a holder must reach to rely on their word, and
@@ -89,6 +91,9 @@
 	TouchFunc func() float64
 	// StoppingFunc reports whether this instance is about to stop, or not ready to begin.
 	StoppingFunc func() bool
+	// StoreElsewhereFunc reports whether peers reach the store. A holder that does not gives the
+	// duty up then; while nobody reaches it, the holder goes on, because nobody can replace it.
+	StoreElsewhereFunc func() bool
 	// OnSilent, if set, is called to ask a holder that has been silent for some time.
 	OnSilent func(holder ident.Instance)
 	// OnClaim, if set, is called after this instance took the duty or gave it up.
@@ -102,6 +107,8 @@
 	// tickedAt is the time of the last tick.
 	tickedAt clock.Millis
 	own      *holding
+	// refused is the newest own term that the platform has refused.
+	refused duty.Term
 	// pauseUntil is until when the store is left alone.
 	pauseUntil clock.Millis
 }
@@ -116,8 +123,10 @@
 	// confirmedAt is when the store was last asked and named this instance; zero if that is
 	// not known since a pause or a lost touch. readAt is when it was last asked.
 	confirmedAt, readAt clock.Millis
-	// storeAway is set while reads fail.
-	storeAway bool
+	// awaySince is when reads began to fail; zero while they succeed.
+	awaySince clock.Millis
+	// claimedAt is when the duty was claimed.
+	claimedAt clock.Millis
 }
 
 // Run holds the duty whenever it falls to this instance, until ctx ends.
@@ -155,8 +164,10 @@
 	switch {
 	case own == nil, own.confirmedAt == 0, now < own.actFrom, now-l.tickedAt > maxTickGap, l.known.Term > own.term:
 		return false
+	case touch < claimTouch && now-own.claimedAt < lonelySettle:
+		return false
 	case touch >= holdTouch:
-		return own.storeAway || now-own.confirmedAt <= confirmSpan
+		return own.awaySince > 0 || now-own.confirmedAt <= confirmSpan
 	}
 	return now-own.confirmedAt <= lonelyConfirm
 }
@@ -220,7 +231,5 @@
 		return
 	}
 	klog.InfoS("Duty is refused, the platform has seen a higher term", "duty", l.Duty, "term", term, "known-term", l.known.Term)
-	l.own = nil
-	// The higher term's holder may be unknown here, after a restore of the store.
-	l.learn(Claim{Duty: l.Duty, Term: term + refusedStep - 1, Released: true})
+	l.own, l.refused = nil, term
 }
--- /dev/null
+++ b/internal/duty/leaser/leaser_test.go
@@ -0,0 +1,291 @@
+package leaser
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/standin/property"
+)
+
+// settled returns a fleet of 5 instances with a holder that has acted.
+func settled(t *testing.T) (*fleet, *member) {
+	f := newFleet(t, 1, 5)
+	f.run(10 * clock.Second)
+	return f, f.one()
+}
+
+// TestHolderKilled guards against a duty that nobody takes over when its holder is killed, and against the same term for the
+// next holder, which may be the killed instance started again under its old name.
+func TestHolderKilled(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		f, holder := settled(t)
+		before, _ := holder.Held()
+		old := holder.Incarnation
+		holder.dead = true
+		f.run(2 * clock.Second)
+		if restarts {
+			f.start(holder)
+		}
+		f.run(6 * clock.Second)
+		next := f.one()
+		after, _ := next.Held()
+		if after.Term <= before.Term || next.Incarnation == old {
+			t.Errorf("restarts=%v: term %d of %s after term %d of %s", restarts, after.Term, next.Incarnation, before.Term, old)
+		}
+	}
+}
+
+// TestHolderFrozen guards against a holder that was paused for longer than the lease and acts on when it wakes.
+func TestHolderFrozen(t *testing.T) {
+	f, holder := settled(t)
+	f.freeze(holder, 7*clock.Second)
+	f.run(6500 * clock.Millis(1))
+	next := f.one()
+	f.now = holder.frozenUntil // it wakes before it has ticked or heard of anything
+	if _, held := holder.Held(); held {
+		t.Error("the holder acts on right after it wakes")
+	}
+	f.run(3 * clock.Second)
+	if f.one() != next {
+		t.Error("the duty went back")
+	}
+}
+
+// TestHolderFrozenBriefly guards against a duty that changes hands after a pause that is shorter than the lease.
+func TestHolderFrozenBriefly(t *testing.T) {
+	f, holder := settled(t)
+	before, _ := holder.Held()
+	f.freeze(holder, 2*clock.Second)
+	f.run(6 * clock.Second)
+	if after, _ := f.one().Held(); after != before {
+		t.Errorf("%+v after %+v", after, before)
+	}
+}
+
+// TestHolderCutFromStore guards against a duty that stays with an instance that alone can't reach the store, and so can't fix
+// anything there or learn that it was replaced.
+func TestHolderCutFromStore(t *testing.T) {
+	f, holder := settled(t)
+	holder.noStore = true
+	f.run(15 * clock.Second)
+	next := f.one()
+	if next == holder {
+		t.Error("the duty stayed")
+	}
+	holder.noStore = false
+	f.run(15 * clock.Second)
+	if f.one() != next {
+		t.Error("the duty went back")
+	}
+}
+
+// TestStoreAway guards against a holder that gives up while the store is away, and against another one that takes over.
+func TestStoreAway(t *testing.T) {
+	f, holder := settled(t)
+	f.down = true
+	f.run(30 * clock.Second)
+	if f.one() != holder {
+		t.Error("the duty changed hands")
+	}
+	f.freeze(holder, 5*clock.Second)
+	f.run(7 * clock.Second)
+	if held := f.holders(); len(held) > 0 {
+		t.Errorf("%s acts without knowing whether it was replaced", held[0].name)
+	}
+	f.down = false
+	f.run(5 * clock.Second)
+	f.one()
+}
+
+// TestHolderCutFromPeers guards against two instances that both act: the old holder is cut off from its peers and reaches the
+// store and the platform, and the others replace it.
+func TestHolderCutFromPeers(t *testing.T) {
+	f, holder := settled(t)
+	holder.side = 1
+	f.run(12 * clock.Second)
+	if f.one() == holder {
+		t.Error("the others have not replaced the holder")
+	}
+	holder.side = 0
+	f.run(5 * clock.Second)
+	if f.one() == holder {
+		t.Error("the duty went back at once")
+	}
+}
+
+// TestDrain guards against a duty that waits for a lease when its holder stops in order, and one that stays with an
+// instance that stops.
+func TestDrain(t *testing.T) {
+	f, holder := settled(t)
+	holder.stopping = true
+	f.run(500 * clock.Millis(1))
+	if len(f.holders()) > 0 {
+		t.Error("a stopping instance acts")
+	}
+	f.run(4 * clock.Second)
+	if f.one() == holder {
+		t.Error("the duty stayed")
+	}
+}
+
+// TestStoreRestored guards against a term that comes twice after the store was restored from a copy, when the holder is lost
+// with it and nobody remembers.
+func TestStoreRestored(t *testing.T) {
+	f, holder := settled(t)
+	object, version := f.object, f.version
+	for range 2 { // two more terms, which the copy does not know
+		holder.dead = true
+		f.run(8 * clock.Second)
+		f.start(holder)
+		holder = f.one()
+	}
+	f.restore(object, version)
+	for _, m := range f.members { // all processes are lost with what they were told
+		f.start(m)
+	}
+	f.run(15 * clock.Second)
+	f.one()
+}
+
+// TestStoreRestoredUnderHolder guards against a holder that goes on with a term which a restored store may give out again.
+func TestStoreRestoredUnderHolder(t *testing.T) {
+	f, holder := settled(t)
+	before, _ := holder.Held()
+	f.restore(nil, 1)
+	f.run(10 * clock.Second)
+	after, _ := f.one().Held()
+	if f.one() != holder || after.Term <= before.Term {
+		t.Errorf("%+v after %+v", after, before)
+	}
+}
+
+// TestLostWrite guards against a claim whose answer was lost and that nobody acts on, or that is done seconds later than a
+// newer one.
+func TestLostWrite(t *testing.T) {
+	for _, late := range []clock.Millis{0, 4 * clock.Second} {
+		f, holder := settled(t)
+		holder.dead = true
+		f.loseNext, f.delayNext = late == 0, late
+		f.run(14 * clock.Second)
+		f.one()
+	}
+}
+
+// TestRefused guards against a term that is used again after the platform refused it.
+func TestRefused(t *testing.T) {
+	f, holder := settled(t)
+	before, _ := holder.Held()
+	for subject := range subjects {
+		f.fences[subject] = before.Term + 5
+	}
+	f.run(10 * clock.Second)
+	after, _ := f.one().Held()
+	if after.Term <= before.Term+5 {
+		t.Errorf("term %d after %d was refused", after.Term, before.Term)
+	}
+	refused := f.refused
+	f.run(5 * clock.Second)
+	if refused != f.refused || refused > 2 {
+		t.Errorf("%d calls refused, then %d", refused, f.refused-refused)
+	}
+}
+
+// TestOddObject guards against an object in the store that another writer has left and that can't be read.
+func TestOddObject(t *testing.T) {
+	f, holder := settled(t)
+	before, _ := holder.Held()
+	f.version++
+	odd := *f.object
+	odd.Value, odd.Version = []byte(`{"term":"many"}`), f.version
+	f.object = &odd
+	f.run(12 * clock.Second)
+	if after, _ := f.one().Held(); after.Term <= before.Term {
+		t.Errorf("term %d after %d", after.Term, before.Term)
+	}
+}
+
+// TestStoreCallsAreFlat guards against calls of the store that grow with the fleet: 20 s of calm at 5 and at 400 instances.
+func TestStoreCallsAreFlat(t *testing.T) {
+	for _, n := range []int{5, 400} {
+		f := newFleet(t, 1, n)
+		f.run(15 * clock.Second)
+		f.one()
+		before := f.calls
+		f.run(20 * clock.Second)
+		if calls := f.calls - before; calls > 5 {
+			t.Errorf("%d instances: %d calls of the store in 20 s of calm, want one in 5 s at most", n, calls)
+		}
+	}
+}
+
+// TestONE plays random histories of kills, restarts, pauses, cuts, stops, lost and late writes, late calls and restored
+// stores. The platform must never see one term of two holders, or A, B, A within the lease; after the faults one holds the duty.
+func TestONE(t *testing.T) {
+	property.Check(t, 60, func(rt *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 3, 5, 12, 40, 100}).Draw(rt, "instances")
+		f := newFleet(rt, rapid.Uint64().Draw(rt, "seed"), n)
+		copied, version := f.object, f.version
+		for range rapid.IntRange(1, 14).Draw(rt, "faults") {
+			f.run(clock.Millis(rapid.IntRange(2, 60).Draw(rt, "pause")) * step)
+			m := f.members[rapid.IntRange(0, n-1).Draw(rt, "instance")]
+			if holders := f.holders(); len(holders) > 0 && rapid.Bool().Draw(rt, "the holder") {
+				m = holders[0]
+			}
+			span := clock.Millis(rapid.IntRange(500, 14000).Draw(rt, "span"))
+			switch rapid.SampledFrom([]string{"kill", "start", "freeze", "freeze", "cut", "join", "store", "reach", "down", "up", "lose", "late", "late call", "stop", "copy", "restore"}).Draw(rt, "fault") {
+			case "kill":
+				m.dead = true
+			case "start":
+				f.start(m)
+			case "freeze":
+				f.freeze(m, span)
+			case "cut":
+				m.side = rapid.IntRange(0, 2).Draw(rt, "side")
+			case "join":
+				f.join()
+			case "store":
+				m.noStore = true
+			case "reach":
+				m.noStore = false
+			case "down":
+				f.down = true
+			case "up":
+				f.down = false
+			case "lose":
+				f.loseNext = true
+			case "late":
+				f.delayNext = span
+			case "late call":
+				if authority, held := m.Held(); held {
+					f.sent[authority.Term] = m.Incarnation
+					f.lateCalls = append(f.lateCalls, call{machine: m.name, incarnation: m.Incarnation, term: authority.Term, subject: 0, at: f.now + span, late: true})
+				}
+			case "stop":
+				m.stopping = true
+			case "copy":
+				copied, version = f.object, f.version
+			case "restore":
+				f.restore(copied, version)
+			}
+		}
+		f.join()
+		f.down, f.loseNext, f.delayNext = false, false, 0
+		f.run(15 * clock.Second)
+		for _, m := range f.members {
+			m.noStore = false
+			if m.dead || m.stopping {
+				f.start(m)
+			}
+		}
+		f.run(30 * clock.Second)
+		f.one()
+	})
+}
+
+func (f *fleet) join() {
+	for _, m := range f.members {
+		m.side = 0
+	}
+}
--- a/internal/duty/leaser/store.go
+++ b/internal/duty/leaser/store.go
@@ -33,15 +33,17 @@
 func (l *Leaser) work(ctx context.Context) {
 	touch, stopping := l.TouchFunc(), l.StoppingFunc()
 	candidate := !stopping && l.CandidateFunc()
+	elsewhere := l.StoreElsewhereFunc()
 	l.mu.Lock()
 	now := l.Clock.Now()
 	own, before := l.own, l.known.Holder
 	due := now >= l.pauseUntil
 	reads := own != nil && now-own.readAt >= l.readEvery(touch)
+	gone := own != nil && own.awaySince > 0 && now-own.awaySince >= awaySpan && elsewhere
 	claims := own == nil && !stopping && l.mayClaim(now, candidate, touch)
 	l.mu.Unlock()
 	switch {
-	case own != nil && stopping:
+	case own != nil && (stopping || gone):
 		l.release(ctx)
 	case due && reads:
 		l.confirm(ctx)
@@ -54,7 +56,7 @@
 
 // readEvery returns the time between two reads of the holder. The lock must be held.
 func (l *Leaser) readEvery(touch float64) clock.Millis {
-	if touch < holdTouch || l.own.confirmedAt == 0 || l.own.storeAway {
+	if touch < holdTouch || l.own.confirmedAt == 0 || l.own.awaySince > 0 {
 		return lonelyConfirmEvery
 	}
 	return confirmEvery
@@ -145,10 +147,14 @@
 	if own == nil {
 		return
 	}
-	own.readAt, own.storeAway = began, err != nil
+	own.readAt = began
 	if err != nil {
+		if own.awaySince == 0 {
+			own.awaySince = began
+		}
 		return
 	}
+	own.awaySince = 0
 	switch r := s.record; {
 	case r.Term > own.term:
 		l.learn(l.claimOf(r))
@@ -172,7 +178,7 @@
 	l.mu.Lock()
 	now := l.Clock.Now()
 	known := l.known
-	if r := s.record; r.Incarnation == l.Incarnation && r.Term >= known.Term && !r.Released && r.Term>>eraShift >= duty.Term(s.era) {
+	if r := s.record; r.Incarnation == l.Incarnation && r.Term >= known.Term && r.Term > l.refused && !r.Released && r.Term>>eraShift >= duty.Term(s.era) {
 		l.begin(r.Term, s, now, touch, "earlier write") // its answer was lost
 		l.mu.Unlock()
 		l.told(before)
@@ -188,6 +194,9 @@
 		return // it has just been heard of
 	}
 	term := max(l.known.Term, s.record.Term, duty.Term(s.era)<<eraShift) + 1
+	if l.refused > 0 && term == l.refused+1 {
+		term += refusedStep // nobody here knows the higher term, which a restored store has lost
+	}
 	l.mu.Unlock()
 	value, err := json.Marshal(record{Holder: l.Instance, Incarnation: l.Incarnation, Term: term, Since: now})
 	if err != nil {
@@ -222,7 +231,7 @@
 		settle = max(settle, lonelySettle)
 	}
 	klog.InfoS("Duty is taken", "duty", l.Duty, "term", term, "era", s.era, "from", l.known.Holder, "silent-ms", now-l.heardAt, "settle-ms", settle, "by", how)
-	l.own = &holding{term: term, version: s.object.Version, era: s.era, actFrom: l.Clock.Now() + settle}
+	l.own = &holding{term: term, version: s.object.Version, era: s.era, claimedAt: l.Clock.Now(), actFrom: l.Clock.Now() + settle}
 	l.known = Claim{Duty: l.Duty, Holder: l.Instance, Incarnation: l.Incarnation, Term: term, Beat: 1}
 	l.heardAt = now
 }
@@ -244,7 +253,7 @@
 	l.own = nil
 	l.known.Released = true
 	l.mu.Unlock()
-	klog.InfoS("Duty is given up", "duty", l.Duty, "term", own.term)
+	klog.InfoS("Duty is given up", "duty", l.Duty, "term", own.term, "store-away", own.awaySince > 0)
 	l.told("")
 	value, err := json.Marshal(record{Holder: l.Instance, Incarnation: l.Incarnation, Term: own.term, Since: l.Clock.Now(), Released: true})
 	if err == nil {
--- a/internal/duty/settler/settler.go
+++ b/internal/duty/settler/settler.go
@@ -78,6 +78,8 @@
 	// OnProgress tells them.
 	ProgressFunc func() (fixed, sent duty.Period)
 	OnProgress   func(fixed, sent duty.Period)
+	// KeepSpan is how long counts that are not fixed are known.
+	KeepSpan clock.Millis
 	// TouchFunc returns the share of the instances that this one reaches.
 	TouchFunc func() float64
 	// LateFunc returns how long after its end a period's report is late.
@@ -128,8 +130,8 @@
 		return
 	}
 	if authority.Term != s.term || !s.listed {
-		s.term, s.listed = authority.Term, s.load(ctx)
-		if !s.listed {
+		s.term = authority.Term
+		if s.listed = s.load(ctx); !s.listed {
 			return
 		}
 	}
@@ -223,8 +225,10 @@
 	if s.newest == 0 {
 		return first, true
 	}
-	if first > s.newest+1 && s.PeriodFunc(s.NowFunc())-s.newest > maxBacklog {
-		return first, true // the fleet stood still for long
+	if kept := s.PeriodFunc(s.NowFunc() - s.KeepSpan); s.newest < kept {
+		klog.InfoS("Usage of periods is lost, they were not fixed in time", "from", s.newest+1, "to", kept)
+		s.note(func(stats *Stats) { stats.Lost += int(kept - s.newest) })
+		s.newest = kept
 	}
 	return s.newest + 1, true
 }
--- a/internal/link/gossiper/choice.go
+++ b/internal/link/gossiper/choice.go
@@ -202,6 +202,20 @@
 	return names, reached / (reached + unreached)
 }
 
+// StoreElsewhere reports whether a peer that was heard of lately can read a kind of objects from the
+// store.
+func (g *Gossiper) StoreElsewhere(kind storer.ObjectKind) bool {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for instance, at := range g.lastMessageAt {
+		if now-at < aliveTimeout && !g.storeLost[instance][kind] {
+			return true
+		}
+	}
+	return false
+}
+
 // responding returns the peers whose last call succeeded or that have not been called yet.
 func (g *Gossiper) responding(peers []Peer) []Peer {
 	g.mu.Lock()
--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -51,11 +51,12 @@
 func (h *Host) newLeaser(name duty.Name) *leaser.Leaser {
 	l := &leaser.Leaser{
 		Clock: h.Clock, Store: h.Store, Duty: name, Instance: h.Profile.Instance, Incarnation: h.tallier.Owner,
-		LeaseFunc:     func() clock.Millis { return h.currentBounds().Lease },
-		CandidateFunc: func() bool { return h.Gossiper.HoldsDuty(declaration.ServiceName(name)) },
-		TouchFunc:     h.touch,
-		StoppingFunc:  func() bool { return h.draining.Load() || !h.Enlister.Synced() },
-		OnSilent:      func(holder ident.Instance) { h.Gossiper.SendTo(context.Background(), holder) },
+		LeaseFunc:          func() clock.Millis { return h.currentBounds().Lease },
+		CandidateFunc:      func() bool { return h.Gossiper.HoldsDuty(declaration.ServiceName(name)) },
+		TouchFunc:          h.touch,
+		StoppingFunc:       func() bool { return h.draining.Load() || !h.Enlister.Synced() },
+		StoreElsewhereFunc: func() bool { return h.Gossiper.StoreElsewhere(h.Gossiper.DutyKind) },
+		OnSilent:           func(holder ident.Instance) { h.Gossiper.SendTo(context.Background(), holder) },
 		OnClaim: func(before ident.Instance) {
 			if before != "" && before != h.Profile.Instance {
 				h.Gossiper.SendTo(context.Background(), before)
@@ -93,7 +94,7 @@
 		NowFunc: d.timekeeper.Now, EndFunc: d.counter.End, PeriodFunc: d.counter.PeriodAt,
 		TotalFunc: func(p duty.Period) map[declaration.WorkspaceName]int { return d.counter.Total(p) },
 		FirstFunc: d.counter.First, ProgressFunc: d.counter.Progress, OnProgress: d.counter.NoteProgress,
-		TouchFunc: h.touch, LateFunc: func() clock.Millis { return h.currentBounds().UsageDelay },
+		KeepSpan: counter.KeepSpan, TouchFunc: h.touch, LateFunc: func() clock.Millis { return h.currentBounds().UsageDelay },
 	}
 	gauge := func(name, help string, read func(settler.Stats) int) {
 		h.Meter.Gauge(name, help, func() float64 { return float64(read(d.settler.Stats())) })
