--- a/internal/duty/leaser/leaser.go
+++ b/internal/duty/leaser/leaser.go
@@ -38,6 +38,9 @@
 	otherDelay = 3 * clock.Second
 	// awaySpan is how long the store may be away from the holder alone before it gives the duty up.
 	awaySpan clock.Millis = 2500
+	// releasedSettle is the time between a claim and the first call if the holder before has
+	// given the duty up itself.
+	releasedSettle clock.Millis = 500
 	// storePause is the pause after a failed call of the store.
 	storePause = 1 * clock.Second
 	// holdTouch is the share of peers that a holder must reach to rely on their word, and
@@ -107,6 +110,8 @@
 	// tickedAt is the time of the last tick.
 	tickedAt clock.Millis
 	own      *holding
+	// heldUntil is when this instance last gave up or lost the duty.
+	heldUntil clock.Millis
 	// refused is the newest own term that the platform has refused.
 	refused duty.Term
 	// pauseUntil is until when the store is left alone.
@@ -211,7 +216,19 @@
 	l.known, l.heardAt = c, l.Clock.Now()
 	if l.own != nil && (c.Term > l.own.term || c.Incarnation != l.Incarnation) {
 		klog.InfoS("Duty is lost", "duty", l.Duty, "term", l.own.term, "holder", c.Holder, "new-term", c.Term)
-		l.own = nil
+		l.drop()
+	}
+}
+
+// drop notes that this instance no longer holds the duty. The lock must be held.
+func (l *Leaser) drop() { l.own, l.heldUntil = nil, l.Clock.Now() }
+
+// Doubt makes the holder ask the store soon, for example because another call of it failed.
+func (l *Leaser) Doubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.own != nil && l.own.awaySince == 0 {
+		l.own.readAt = min(l.own.readAt, l.Clock.Now()-confirmEvery)
 	}
 }
 
@@ -231,5 +248,6 @@
 		return
 	}
 	klog.InfoS("Duty is refused, the platform has seen a higher term", "duty", l.Duty, "term", term, "known-term", l.known.Term)
-	l.own, l.refused = nil, term
+	l.drop()
+	l.refused = term
 }
--- a/internal/duty/leaser/store.go
+++ b/internal/duty/leaser/store.go
@@ -165,7 +165,7 @@
 	default:
 		// The store was restored, or another writer changed the object: the duty is claimed again.
 		klog.InfoS("Duty's object differs, claiming it again", "duty", l.Duty, "term", own.term, "stored-term", r.Term, "era", s.era, "own-era", own.era)
-		l.own = nil
+		l.drop()
 	}
 }
 
@@ -178,12 +178,6 @@
 	l.mu.Lock()
 	now := l.Clock.Now()
 	known := l.known
-	if r := s.record; r.Incarnation == l.Incarnation && r.Term >= known.Term && r.Term > l.refused && !r.Released && r.Term>>eraShift >= duty.Term(s.era) {
-		l.begin(r.Term, s, now, touch, "earlier write") // its answer was lost
-		l.mu.Unlock()
-		l.told(before)
-		return
-	}
 	l.learn(l.claimOf(s.record))
 	if l.known.Term != known.Term && !l.known.Released {
 		l.mu.Unlock()
@@ -215,7 +209,7 @@
 	l.mu.Lock()
 	taken := l.known.Term < term
 	if taken {
-		l.begin(term, s, now, touch, "claim")
+		l.begin(term, s, now, touch)
 	}
 	l.mu.Unlock()
 	if taken {
@@ -225,12 +219,15 @@
 }
 
 // begin notes that this instance holds the duty. The lock must be held.
-func (l *Leaser) begin(term duty.Term, s stored, now clock.Millis, touch float64, how string) {
+func (l *Leaser) begin(term duty.Term, s stored, now clock.Millis, touch float64) {
 	settle := l.LeaseFunc()/2 + silenceMargin
+	if l.known.Released && (l.heldUntil == 0 || now-l.heldUntil > 2*l.LeaseFunc()) {
+		settle = releasedSettle
+	}
 	if touch < claimTouch {
 		settle = max(settle, lonelySettle)
 	}
-	klog.InfoS("Duty is taken", "duty", l.Duty, "term", term, "era", s.era, "from", l.known.Holder, "silent-ms", now-l.heardAt, "settle-ms", settle, "by", how)
+	klog.InfoS("Duty is taken", "duty", l.Duty, "term", term, "era", s.era, "from", l.known.Holder, "silent-ms", now-l.heardAt, "settle-ms", settle)
 	l.own = &holding{term: term, version: s.object.Version, era: s.era, claimedAt: l.Clock.Now(), actFrom: l.Clock.Now() + settle}
 	l.known = Claim{Duty: l.Duty, Holder: l.Instance, Incarnation: l.Incarnation, Term: term, Beat: 1}
 	l.heardAt = now
@@ -250,7 +247,7 @@
 		l.mu.Unlock()
 		return
 	}
-	l.own = nil
+	l.drop()
 	l.known.Released = true
 	l.mu.Unlock()
 	klog.InfoS("Duty is given up", "duty", l.Duty, "term", own.term, "store-away", own.awaySince > 0)
--- a/internal/duty/settler/fleet_test.go
+++ b/internal/duty/settler/fleet_test.go
@@ -96,9 +96,10 @@
 				m.term = 0
 			}
 		},
-		NowFunc:    func() clock.Millis { return f.now },
-		EndFunc:    func(p duty.Period) clock.Millis { return clock.Millis(p+1) * length },
-		PeriodFunc: func(at clock.Millis) duty.Period { return duty.Period(at / length) },
+		OnStoreError: func() {},
+		NowFunc:      func() clock.Millis { return f.now },
+		EndFunc:      func(p duty.Period) clock.Millis { return clock.Millis(p+1) * length },
+		PeriodFunc:   func(at clock.Millis) duty.Period { return duty.Period(at / length) },
 		TotalFunc: func(p duty.Period) map[declaration.WorkspaceName]int {
 			return map[declaration.WorkspaceName]int{"acme": int(p)*10 + offset}
 		},
--- a/internal/duty/settler/settler.go
+++ b/internal/duty/settler/settler.go
@@ -65,6 +65,8 @@
 	HeldFunc func() (duty.Authority, bool)
 	// OnSuperseded is called when the platform has refused a term.
 	OnSuperseded func(duty.Term)
+	// OnStoreError is called when a call of the store failed.
+	OnStoreError func()
 	// NowFunc returns the true time.
 	NowFunc func() clock.Millis
 	// EndFunc returns when a period ends, and PeriodFunc the period of a point in true time.
@@ -97,6 +99,13 @@
 	stats Stats
 }
 
+// record is the object that holds the usage of a period. Sent is the newest period that was known to
+// be acknowledged when it was written.
+type record struct {
+	duty.Usage
+	Sent duty.Period `json:"sent,omitempty"`
+}
+
 // entry is the fixed usage of a period.
 type entry struct {
 	usage  duty.Usage
@@ -151,6 +160,7 @@
 	changes, err := s.Store.List(ctx, ObjectKind, 0, 0)
 	if err != nil {
 		klog.InfoS("Fixed usage cannot be read", "err", err)
+		s.OnStoreError()
 		s.pause()
 		return false
 	}
@@ -159,7 +169,13 @@
 	}
 	toldFixed, toldSent := s.ProgressFunc()
 	for _, o := range changes.Objects {
-		usage, err := decode(o)
+		if r, err := decode(o); err == nil {
+			toldSent = max(toldSent, r.Sent)
+		}
+	}
+	for _, o := range changes.Objects {
+		r, err := decode(o)
+		usage := r.Usage
 		if err != nil {
 			klog.InfoS("Ignored an invalid usage object", "object", o.Name, "err", err)
 			s.newest = max(s.newest, periodOf(o.Name))
@@ -187,18 +203,18 @@
 	return duty.Period(p)
 }
 
-func decode(o storer.Object) (duty.Usage, error) {
+func decode(o storer.Object) (record, error) {
 	const op = "decode usage"
-	var usage duty.Usage
+	var usage record
 	if err := json.Unmarshal(o.Value, &usage); err != nil {
-		return duty.Usage{}, fault.New(op, KindInvalid, err)
+		return record{}, fault.New(op, KindInvalid, err)
 	}
 	if usage.Period <= 0 || objectName(usage.Period) != o.Name {
-		return duty.Usage{}, fault.Newf(op, KindInvalid, "object %s holds period %d", o.Name, usage.Period)
+		return record{}, fault.Newf(op, KindInvalid, "object %s holds period %d", o.Name, usage.Period)
 	}
 	for workspace, n := range usage.Counts {
 		if n < 0 || workspace == "" {
-			return duty.Usage{}, fault.Newf(op, KindInvalid, "object %s counts %d of workspace %q", o.Name, n, workspace)
+			return record{}, fault.Newf(op, KindInvalid, "object %s counts %d of workspace %q", o.Name, n, workspace)
 		}
 	}
 	return usage, nil
@@ -247,7 +263,8 @@
 		return
 	}
 	usage := duty.Usage{Period: period, Counts: s.TotalFunc(period)}
-	value, err := json.Marshal(usage)
+	_, sent := s.ProgressFunc()
+	value, err := json.Marshal(record{Usage: usage, Sent: sent})
 	if err != nil {
 		klog.ErrorS(err, "Usage cannot be encoded", "period", period)
 		return
@@ -281,17 +298,18 @@
 	o, err := s.Store.Get(ctx, ObjectKind, objectName(period))
 	if err != nil {
 		klog.InfoS("Usage is not fixed", "period", period, "err", cause, "read-err", err)
+		s.OnStoreError()
 		s.pause()
 		return
 	}
-	usage, err := decode(o)
+	r, err := decode(o)
 	if err != nil {
 		klog.InfoS("Usage of a period is lost, its object is invalid", "period", period, "err", err)
 		s.newest = max(s.newest, period)
 		s.note(func(stats *Stats) { stats.Lost++ })
 		return
 	}
-	s.take(usage, o)
+	s.take(r.Usage, o)
 }
 
 func (s *Settler) note(change func(*Stats)) {
--- a/internal/duty/settler/settler_test.go
+++ b/internal/duty/settler/settler_test.go
@@ -95,6 +95,21 @@
 	}
 }
 
+// TestAllKilled guards against old reports that are repeated before the new ones after all instances were killed at once, so
+// that nobody remembers what was acknowledged.
+func TestAllKilled(t *testing.T) {
+	f := newFleet(t, 2)
+	f.give(0, true)
+	f.run(60 * clock.Second)
+	f.members = []*member{f.newMember(3), f.newMember(4)}
+	f.give(0, true)
+	f.run(30 * clock.Second)
+	f.want(0)
+	if f.duplicates > 2 {
+		t.Errorf("%d reports repeated", f.duplicates)
+	}
+}
+
 // TestLostWrite guards against counts that differ from those in the store, when the answer to the write that fixed them was
 // lost, or the write is done later than the next one.
 func TestLostWrite(t *testing.T) {
--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -90,7 +90,7 @@
 	h.Gossiper.HolderFunc = h.meteringHolder
 	h.Runner.OnBegin = d.counter.Count
 	d.settler = &settler.Settler{
-		Clock: h.Clock, Store: h.Store, Platform: d.platform, HeldFunc: held.Held, OnSuperseded: held.Superseded,
+		Clock: h.Clock, Store: h.Store, Platform: d.platform, HeldFunc: held.Held, OnSuperseded: held.Superseded, OnStoreError: held.Doubt,
 		NowFunc: d.timekeeper.Now, EndFunc: d.counter.End, PeriodFunc: d.counter.PeriodAt,
 		TotalFunc: func(p duty.Period) map[declaration.WorkspaceName]int { return d.counter.Total(p) },
 		FirstFunc: d.counter.First, ProgressFunc: d.counter.Progress, OnProgress: d.counter.NoteProgress,
