--- a/internal/duty/leaser/fleet_test.go
+++ b/internal/duty/leaser/fleet_test.go
@@ -73,6 +73,7 @@
 	object     *storer.Object
 	calls      int
 	lateWrites []lateWrite
+	beforePut  func() // runs once before the next write
 
 	// the platform
 	unfenced  bool
@@ -188,6 +189,10 @@
 	if f.down || m.noStore {
 		return 0, fault.Newf("put", storer.KindUnavailable, "down")
 	}
+	if before := f.beforePut; before != nil {
+		f.beforePut = nil
+		before()
+	}
 	write := func() (ident.StoreVersion, error) {
 		unconditional := !pre.Absent && pre.Match == 0
 		if !unconditional && (pre.Absent != (f.object == nil) || f.object != nil && f.object.Version != pre.Match) {
--- a/internal/duty/leaser/leaser.go
+++ b/internal/duty/leaser/leaser.go
@@ -110,8 +110,6 @@
 	// tickedAt is the time of the last tick.
 	tickedAt clock.Millis
 	own      *holding
-	// heldUntil is when this instance last gave up or lost the duty.
-	heldUntil clock.Millis
 	// refused is the newest own term that the platform has refused.
 	refused duty.Term
 	// pauseUntil is until when the store is left alone.
@@ -216,13 +214,10 @@
 	l.known, l.heardAt = c, l.Clock.Now()
 	if l.own != nil && (c.Term > l.own.term || c.Incarnation != l.Incarnation) {
 		klog.InfoS("Duty is lost", "duty", l.Duty, "term", l.own.term, "holder", c.Holder, "new-term", c.Term)
-		l.drop()
+		l.own = nil
 	}
 }
 
-// drop notes that this instance no longer holds the duty. The lock must be held.
-func (l *Leaser) drop() { l.own, l.heldUntil = nil, l.Clock.Now() }
-
 // Doubt makes the holder ask the store soon, for example because another call of it failed.
 func (l *Leaser) Doubt() {
 	l.mu.Lock()
@@ -248,6 +243,5 @@
 		return
 	}
 	klog.InfoS("Duty is refused, the platform has seen a higher term", "duty", l.Duty, "term", term, "known-term", l.known.Term)
-	l.drop()
-	l.refused = term
+	l.own, l.refused = nil, term
 }
--- a/internal/duty/leaser/leaser_test.go
+++ b/internal/duty/leaser/leaser_test.go
@@ -40,6 +40,7 @@
 // TestHolderFrozen guards against a holder that was paused for longer than the lease and acts on when it wakes.
 func TestHolderFrozen(t *testing.T) {
 	f, holder := settled(t)
+	f.run(900 * clock.Millis(1)) // it has just read that it holds the duty
 	f.freeze(holder, 5*clock.Second)
 	f.run(4900 * clock.Millis(1))
 	f.now = holder.frozenUntil // it wakes before it has ticked or heard of anything
@@ -115,11 +116,53 @@
 	}
 }
 
+// TestCutClaimant guards against an instance that is cut off from its peers, hears nothing of the holder and acts beside it.
+func TestCutClaimant(t *testing.T) {
+	for offset := clock.Millis(0); offset < 6*clock.Second; offset += 3 * step {
+		f, holder := settled(t)
+		f.run(offset)
+		f.members[3].side = 1
+		f.run(20 * clock.Second)
+		if f.one() == f.members[3] {
+			t.Errorf("the instance that is cut off holds the duty, before %s did", holder.name)
+		}
+	}
+}
+
+// TestCutHolderReturns guards against a holder that was cut off from peers and the store, and acts as soon as it reaches peers
+// again, before it has heard of its successor.
+func TestCutHolderReturns(t *testing.T) {
+	f, holder := settled(t)
+	holder.side, holder.noStore = 1, true
+	f.run(9 * clock.Second)
+	f.one()
+	holder.side, holder.touches = 0, []float64{1}
+	if _, held := holder.Held(); held {
+		t.Error("it acts")
+	}
+}
+
+// TestTwoClaimants guards against two instances that find the holder silent at the same time: one writes between the other's
+// read and write.
+func TestTwoClaimants(t *testing.T) {
+	f, holder := settled(t)
+	holder.dead = true
+	other := f.members[4]
+	f.beforePut = func() { other.claim(t.Context(), holder.name, 1) }
+	f.run(12 * clock.Second)
+	if f.one() != other {
+		t.Errorf("%s holds the duty, %s wrote first", f.one().name, other.name)
+	}
+}
+
 // TestDrain guards against a duty that waits for a lease when its holder stops in order, and one that stays with an
 // instance that stops.
 func TestDrain(t *testing.T) {
 	f, holder := settled(t)
 	holder.stopping = true
+	if len(f.holders()) > 0 {
+		t.Error("an instance that was told to stop acts")
+	}
 	f.run(500 * clock.Millis(1))
 	if len(f.holders()) > 0 {
 		t.Error("a stopping instance acts")
@@ -177,6 +220,7 @@
 		}
 	}
 	f.restore(object, version)
+	f.unfenced = true // the platform refuses nothing
 	f.run(12 * clock.Second)
 	if after, _ := f.one().Held(); after.Term <= last.Term {
 		t.Errorf("term %d after %d", after.Term, last.Term)
--- a/internal/duty/leaser/store.go
+++ b/internal/duty/leaser/store.go
@@ -165,7 +165,7 @@
 	default:
 		// The store was restored, or another writer changed the object: the duty is claimed again.
 		klog.InfoS("Duty's object differs, claiming it again", "duty", l.Duty, "term", own.term, "stored-term", r.Term, "era", s.era, "own-era", own.era)
-		l.drop()
+		l.own = nil
 	}
 }
 
@@ -221,7 +221,7 @@
 // begin notes that this instance holds the duty. The lock must be held.
 func (l *Leaser) begin(term duty.Term, s stored, now clock.Millis, touch float64) {
 	settle := l.LeaseFunc()/2 + silenceMargin
-	if l.known.Released && (l.heldUntil == 0 || now-l.heldUntil > 2*l.LeaseFunc()) {
+	if l.known.Released {
 		settle = releasedSettle
 	}
 	if touch < claimTouch {
@@ -247,7 +247,7 @@
 		l.mu.Unlock()
 		return
 	}
-	l.drop()
+	l.own = nil
 	l.known.Released = true
 	l.mu.Unlock()
 	klog.InfoS("Duty is given up", "duty", l.Duty, "term", own.term, "store-away", own.awaySince > 0)
--- a/internal/link/gossiper/choice.go
+++ b/internal/link/gossiper/choice.go
@@ -9,6 +9,7 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/link/hasher"
+	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
 )
 
@@ -202,6 +203,19 @@
 	return names, reached / (reached + unreached)
 }
 
+// HeardWithin reports whether a message from any peer arrived within a time, or there are no peers.
+func (g *Gossiper) HeardWithin(span clock.Millis) bool {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, at := range g.lastMessageAt {
+		if now-at < span {
+			return true
+		}
+	}
+	return len(g.PeersFunc()) == 0
+}
+
 // StoreElsewhere reports whether a peer that was heard of lately can read a kind of objects from the
 // store.
 func (g *Gossiper) StoreElsewhere(kind storer.ObjectKind) bool {
--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -73,8 +73,15 @@
 	return l
 }
 
+// quietSpanOfPeers is the time without a message of any peer after which an instance counts as cut
+// off from all. It exceeds two rounds.
+const quietSpanOfPeers clock.Millis = 1600
+
 // touch returns the share of the instances that this one reaches.
 func (h *Host) touch() float64 {
+	if !h.Gossiper.HeardWithin(quietSpanOfPeers) {
+		return 0
+	}
 	_, share := h.Gossiper.Reachable()
 	return share
 }
