--- a/internal/duty/leaser/leaser.go
+++ b/internal/duty/leaser/leaser.go
@@ -134,12 +134,14 @@
 
 // Run holds the duty whenever it falls to this instance, until ctx ends.
 func (l *Leaser) Run(ctx context.Context) error {
-	go func() {
+	var ticks sync.WaitGroup
+	defer ticks.Wait()
+	ticks.Go(func() {
 		for ctx.Err() == nil {
 			l.tick()
 			_ = l.Clock.Sleep(ctx, tickEvery) // the loop ends when ctx is done
 		}
-	}()
+	})
 	for ctx.Err() == nil {
 		l.work(ctx)
 		_ = l.Clock.Sleep(ctx, workEvery) // the loop ends when ctx is done
--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -27,6 +27,13 @@
 	leasers    map[duty.Name]*leaser.Leaser
 	counter    *counter.Counter
 	settler    *settler.Settler
+	client     *http.Client
+}
+
+func (d *duties) close() {
+	if d.client != nil {
+		d.client.CloseIdleConnections()
+	}
 }
 
 // wireDuties builds what the settings' duties need.
@@ -34,9 +41,9 @@
 	if h.Profile.Duties.Address == "" || len(h.Profile.Duties.Names()) == 0 {
 		return
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: h.outside.DialFunc, MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	h.duties.client = &http.Client{Transport: &http.Transport{DialContext: h.outside.DialFunc, MaxIdleConnsPerHost: 2, DisableCompression: true}}
 	d := &h.duties
-	d.platform = platform.NewDutyPlatform(h.Profile.Duties.Address, client, dutyTimeout)
+	d.platform = platform.NewDutyPlatform(h.Profile.Duties.Address, d.client, dutyTimeout)
 	d.timekeeper = &timekeeper.Timekeeper{Clock: h.Clock}
 	h.Gossiper.Timekeeper = d.timekeeper
 	d.leasers = map[duty.Name]*leaser.Leaser{}
@@ -166,6 +173,14 @@
 	}
 }
 
+// tellLastCounts tells all neighbours what this instance has counted, before it stops: the watcher of
+// its zone may stop soon after it.
+func (h *Host) tellLastCounts() {
+	if h.duties.counter != nil {
+		h.Gossiper.SendToNeighbours(context.Background())
+	}
+}
+
 // dutyLoops returns what runs for duties.
 func (h *Host) dutyLoops() []func(context.Context) error {
 	var loops []func(context.Context) error
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -158,6 +158,7 @@
 		h.Transporter.Close()
 		h.Connector.Close()
 		client.CloseIdleConnections()
+		h.duties.close()
 	}
 }
 
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -140,6 +140,7 @@
 	h.wait(func(now clock.Millis) bool { return now >= cutAt || h.idle() })
 	klog.InfoS("Instance stops", "instance", h.Profile.Instance, "streams-cut", h.inFlight.Load(), "tunnels-cut", h.Tunneler.Carried(), "after-ms", h.Clock.Now()-began)
 	cutRequests()
+	h.tellLastCounts()
 	time.Sleep((tickEvery / 5).Duration())
 	return nil
 }
