--- a/internal/link/gossiper/choice.go
+++ b/internal/link/gossiper/choice.go
@@ -9,6 +9,7 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/link/hasher"
+	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
 )
 
@@ -32,6 +33,7 @@
 			chosen[p.Instance] = p
 		}
 	}
+	g.addHolder(chosen, peers)
 	random := randomPeersSmall
 	if g.InLargeFleet() {
 		random = randomPeersLarge
@@ -45,6 +47,20 @@
 	return slices.Collect(maps.Values(chosen))
 }
 
+// addHolder adds the instance that counts of requests are meant for in a small fleet. In a large one
+// they go through the watchers.
+func (g *Gossiper) addHolder(chosen map[ident.Instance]Peer, peers []Peer) {
+	if g.HolderFunc == nil || g.InLargeFleet() {
+		return
+	}
+	holder := g.HolderFunc()
+	for _, p := range peers {
+		if p.Instance == holder {
+			chosen[p.Instance] = p
+		}
+	}
+}
+
 // InLargeFleet reports whether the fleet is too large for all instances to be neighbours. In a
 // large fleet, only instances of the same zone are neighbours.
 func (g *Gossiper) InLargeFleet() bool { return len(g.PeersFunc()) >= minLargeFleet }
@@ -187,6 +203,33 @@
 	return names, reached / (reached + unreached)
 }
 
+// HeardWithin reports whether a message from any peer arrived within a time, or there are no peers.
+func (g *Gossiper) HeardWithin(span clock.Millis) bool {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, at := range g.lastMessageAt {
+		if now-at < span {
+			return true
+		}
+	}
+	return len(g.PeersFunc()) == 0
+}
+
+// StoreElsewhere reports whether a peer that was heard of lately can read a kind of objects from the
+// store.
+func (g *Gossiper) StoreElsewhere(kind storer.ObjectKind) bool {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for instance, at := range g.lastMessageAt {
+		if now-at < aliveTimeout && !g.storeLost[instance][kind] {
+			return true
+		}
+	}
+	return false
+}
+
 // responding returns the peers whose last call succeeded or that have not been called yet.
 func (g *Gossiper) responding(peers []Peer) []Peer {
 	g.mu.Lock()
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -86,6 +86,9 @@
 	loop(h.Enlister.Run)
 	loop(h.Gossiper.Run)
 	loop(h.housekeep)
+	for _, run := range h.dutyLoops() {
+		loop(run)
+	}
 	loop(func(ctx context.Context) error { return h.followReloads(ctx, reload) })
 	klog.InfoS("Instance started", "instance", h.Profile.Instance, "zone", h.Profile.Zone, "callers", h.Profile.CallerAddress, "peers", h.Profile.PeerAddress(), "metrics", h.Profile.MetricsAddress())
 	return group.Run()
@@ -139,6 +142,7 @@
 	h.wait(func(now clock.Millis) bool { return now >= cutAt || h.idle() })
 	klog.InfoS("Instance stops", "instance", h.Profile.Instance, "streams-cut", h.inFlight.Load(), "tunnels-cut", h.Tunneler.Carried(), "after-ms", h.Clock.Now()-began)
 	cutRequests()
+	h.tellLastCounts()
 	time.Sleep((tickEvery / 5).Duration())
 	return nil
 }
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -81,6 +81,8 @@
 	// earlier attempt has failed. The Runner calls the returned function with the time to the
 	// first byte, or with found set to false if no answer began that can be forwarded.
 	OnAttemptStart func(attempt Attempt) (reportFirstByte func(firstByte clock.Millis, found bool))
+	// OnBegin, when set, is called once for each request, when a server's answer to it begins.
+	OnBegin func(workspace declaration.WorkspaceName)
 	// OnInterEventLatency, when set, is called once for each streamed answer that has
 	// latencySampleEvents events, with the mean time between these first events.
 	OnInterEventLatency func(attempt Attempt, gap clock.Millis)
@@ -157,6 +159,8 @@
 	excluded   []ident.Server
 	mayHaveRun bool // a server may have run the request
 	log        attemptLog
+	// begun is set when OnBegin has been called, by any of the attempts that run beside one another.
+	begun *atomic.Bool
 	// bodyReleases release the memory of the buffered answer bodies.
 	bodyReleases []func()
 	// savedHead and savedBody hold the latest 5xx answer of a server, which is forwarded if no
@@ -170,7 +174,7 @@
 
 // Serve runs a request. It returns nil or a *message.Refusal.
 func (r *Runner) Serve(ctx context.Context, req *message.Request, sink *message.AnswerWriter) error {
-	x := &execution{Runner: r, ctx: ctx, req: req, sink: sink, view: r.ViewFunc(), lastEventID: req.After}
+	x := &execution{Runner: r, ctx: ctx, req: req, sink: sink, view: r.ViewFunc(), lastEventID: req.After, begun: new(atomic.Bool)}
 	err := x.serve()
 	for _, release := range x.bodyReleases {
 		release()
