--- /dev/null
+++ b/internal/duty/scaler/scaler.go
@@ -0,0 +1,448 @@
+// Package scaler decides how many servers a service should have in each availability zone.
+//
+// The decision is pure: Decide gets the demand and the servers as they are now, keeps a history of
+// the demand, and returns orders. Demand is counted in servers: the work that one server does when
+// it processes prompts without a pause, or all of its slots. The number ordered carries the demand
+// that is expected when servers ordered now begin to serve, and carries it still when the zone with
+// the most servers is lost. It rises at once and falls in steps.
+package scaler
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/duty"
+	"example.com/dotterelwell/internal/contract/routing"
+	"example.com/dotterelwell/internal/machine/clock"
+)
+
+const (
+	// waitPart is the part of the target for the first event that a request may wait at a server on
+	// average; the rest is for the processing of its own prompt and for uneven work.
+	waitPart = 0.25
+	// waitSpread is the factor by which prompts of uneven length lengthen the wait, compared with
+	// prompts of equal length.
+	waitSpread = 1.2
+	// minUtilization and maxUtilization bound the utilization of servers at which requests begin in
+	// time. Estimates of work are not exact, and prompts kept by servers make the work uneven.
+	minUtilization, maxUtilization = 0.3, 0.7
+	// lossUtilization is the utilization after the loss of a zone: requests wait longer until servers
+	// ordered in its place serve, but no queue grows without end.
+	lossUtilization = 0.9
+	// slotUtilization is the part of the slots that may be taken.
+	slotUtilization = 0.8
+	// maxGrowth bounds the forecast, relative to the demand now.
+	maxGrowth = 1.5
+	// surplus is the part of the servers by which a zone must exceed its need before servers are
+	// taken away, and stepPart the part that one step takes away at most.
+	surplus, stepPart = 0.1, 1.0 / 8
+	// minHold is the least time for which the demand must have been low before a step down.
+	minHold = 20 * clock.Second
+	// settleSpan is the age of the history at which it is used: the reports of all instances have
+	// arrived, and no expired ones count.
+	settleSpan = 5 * clock.Second
+	// trendSpan is the part of the history from which the growth of the demand is estimated, in
+	// trendParts parts. It exceeds the waves of demand that servers cannot follow.
+	trendSpan, trendParts = 12 * clock.Second, 4
+	// smoothSpan is the span over which the demand is averaged before a peak is taken.
+	smoothSpan = 2 * clock.Second
+	// steadyPart is the part of a zone's servers that must be ready for its number to count as certain.
+	steadyPart = 0.95
+	// zoneRetention is how long a zone without servers counts as lost. A zone that is away for longer is
+	// not expected back, and the others make room for the loss of one more.
+	zoneRetention = 10 * 60 * clock.Second
+	// lateFactor is the factor of the startup time after which an ordered server that is not present
+	// is no longer expected.
+	lateFactor = 2
+)
+
+// Demand is the fleet-wide demand for the servers of a service.
+type Demand struct {
+	// Work is the server time, in milliseconds per second, for the prompts of requests that were sent
+	// lately, without what servers have cached. Requests is their number per second.
+	Work, Requests float64
+	// Backlog is the server time, in milliseconds, of prompts that servers have not processed yet.
+	Backlog float64
+	// Busy is the number of slots that are taken.
+	Busy int
+	// Whole is set if the demand that nearly all instances report is included.
+	Whole bool
+}
+
+// Servers counts the servers of a service in one zone.
+type Servers struct {
+	// Present is the number of servers with an entry, on both sides of a roll-out.
+	Present int
+	// Ready is the number of those that take work now at full speed, and Cold the number of those that
+	// will after their cold start, on the larger side of a roll-out: only one side remains. The rest is
+	// leaving or cannot be reached.
+	Ready, Cold int
+	// Evacuated is set while the zone's servers take no new work.
+	Evacuated bool
+}
+
+// State is what a decision is made from.
+type State struct {
+	Now     clock.Millis
+	Service *routing.Service
+	// Target is the shortest target for the first event among the service's routes.
+	Target clock.Millis
+	// RolloutOpen is set while servers of two releases exist by order of the operators.
+	RolloutOpen bool
+	// Unsettled is set while an order for the service is unanswered or may take effect late.
+	Unsettled bool
+	Demand    Demand
+	// Zones holds the zones that have servers.
+	Zones map[declaration.ZoneName]Servers
+}
+
+// Reason tells why an order is given.
+type Reason string
+
+// Reasons.
+const (
+	ReasonDemand   Reason = "demand"
+	ReasonZoneLoss Reason = "zone-loss-room"
+	ReasonSurplus  Reason = "surplus"
+)
+
+// Decision is an order and its reason.
+type Decision struct {
+	Order  duty.Order
+	Before int
+	Needed int
+	// Expected is the demand, in servers, that the order is to carry.
+	Expected float64
+	Reason   Reason
+}
+
+// Scaler decides for one service. Its zero value is ready.
+type Scaler struct {
+	history []sample
+	zones   map[declaration.ZoneName]*zone
+	// steadyAt is when something last made the number of usable servers uncertain.
+	steadyAt clock.Millis
+}
+
+// sample is the demand at one time, in servers.
+type sample struct {
+	at      clock.Millis
+	servers float64
+}
+
+// zone is what the scaler remembers of one zone.
+type zone struct {
+	// ordered is the newest order, 0 for none, which was given at orderedAt.
+	ordered   int
+	orderedAt clock.Millis
+	// previous is the order before the newest one.
+	previous int
+	// before is the number of servers that were present at orderedAt.
+	before int
+	// present holds the numbers of servers seen lately.
+	present []sample
+	seenAt  clock.Millis
+}
+
+// Decide returns the orders that are due, in the order of the zones' names.
+func (s *Scaler) Decide(state State) []Decision {
+	if state.Service.Scaling == nil || state.Service.Scaling.Max <= 0 {
+		return nil
+	}
+	hold := holdSpan(state.Service)
+	state.Zones = s.withLostZones(state)
+	s.record(state, hold)
+	if len(s.history) == 0 || state.Now-s.history[0].at < settleSpan {
+		return nil
+	}
+	var decisions []Decision
+	decisions = append(decisions, s.raise(state)...)
+	if len(decisions) == 0 && !state.Unsettled && s.mayLower(state, hold) {
+		decisions = s.lower(state)
+	}
+	for _, d := range decisions {
+		held := s.zones[d.Order.Zone]
+		held.previous = held.ordered
+		held.ordered, held.orderedAt, held.before = d.Order.Servers, state.Now, state.Zones[d.Order.Zone].Present
+	}
+	return decisions
+}
+
+// Withdraw takes the newest order for a zone back, which was not carried out.
+func (s *Scaler) Withdraw(name declaration.ZoneName) {
+	if held := s.zones[name]; held != nil {
+		held.ordered = held.previous
+	}
+}
+
+// leadTime is the time from an order until the ordered servers work at full speed.
+func leadTime(service *routing.Service) clock.Millis {
+	return service.Scaling.Startup + service.Warmup
+}
+
+// orderPause is the least time between two orders for more servers in a zone.
+func orderPause(service *routing.Service) clock.Millis { return service.Scaling.Startup / 2 }
+
+// holdSpan is the time for which the demand must have been low before servers are taken away. One
+// that is needed again is missing for the lead time.
+func holdSpan(service *routing.Service) clock.Millis { return max(2*leadTime(service), minHold) }
+
+// withLostZones returns the zones of the state and those that had servers until lately.
+func (s *Scaler) withLostZones(state State) map[declaration.ZoneName]Servers {
+	maps.DeleteFunc(s.zones, func(_ declaration.ZoneName, z *zone) bool { return state.Now-z.seenAt >= zoneRetention })
+	zones := maps.Clone(state.Zones)
+	for name := range s.zones {
+		if _, found := zones[name]; !found {
+			zones[name] = Servers{}
+		}
+	}
+	return zones
+}
+
+// record adds the state to the history. The history begins with the first request: before, nothing
+// is known of the demand.
+func (s *Scaler) record(state State, hold clock.Millis) {
+	from := state.Now - hold
+	expired := func(o sample) bool { return o.at < from-smoothSpan }
+	if servers := demandInServers(state); state.Demand.Requests > 0 || len(s.history) > 0 {
+		s.history = append(slices.DeleteFunc(s.history, expired), sample{state.Now, servers})
+	}
+	if s.zones == nil {
+		s.zones = map[declaration.ZoneName]*zone{}
+	}
+	steady := state.Demand.Whole && !state.RolloutOpen
+	for name, servers := range state.Zones {
+		held := s.zones[name]
+		if held == nil {
+			held = &zone{}
+			s.zones[name] = held
+		}
+		if servers.Present > 0 {
+			held.seenAt = state.Now
+		}
+		held.present = append(slices.DeleteFunc(held.present, expired), sample{state.Now, float64(servers.Present)})
+		steady = steady && !servers.Evacuated && float64(servers.Ready) >= steadyPart*float64(held.highest())
+	}
+	if !steady {
+		s.steadyAt = state.Now
+	}
+}
+
+// highest is the highest number of servers that was present lately. Fewer servers than that may
+// be back soon.
+func (z *zone) highest() int {
+	if z.ordered > 0 {
+		return min(z.ordered, z.peakPresent())
+	}
+	return z.peakPresent()
+}
+
+func (z *zone) peakPresent() int { return z.peakSince(0) }
+
+func (z *zone) peakSince(from clock.Millis) int {
+	peak := 0.0
+	for _, o := range z.present {
+		if o.at >= from {
+			peak = max(peak, o.servers)
+		}
+	}
+	return int(peak)
+}
+
+// coming is the number of servers that were ordered, are not present yet and should be soon.
+func (z *zone) coming(now, startup clock.Millis) int {
+	if z.ordered == 0 || now-z.orderedAt >= lateFactor*startup {
+		return 0
+	}
+	return max(z.ordered-max(z.before, z.peakSince(z.orderedAt)), 0)
+}
+
+// standing is the number of servers that the platform keeps in the zone, as far as known. It includes
+// servers that crashed: an order below it would take servers away.
+func (z *zone) standing() int { return max(z.ordered, z.highest()) }
+
+// demandInServers converts the demand to the number of servers that it occupies.
+func demandInServers(state State) float64 {
+	d := state.Demand
+	perServer := float64(clock.Second)
+	drain := float64(max(leadTime(state.Service), clock.Second)) // a backlog should be gone when new servers serve
+	work := d.Work/perServer + d.Backlog/drain
+	if engine := state.Service.Engine; engine != nil && engine.Slots > 0 {
+		slots := float64(d.Busy) / float64(engine.Slots) / slotUtilization
+		return max(work, slots*utilization(state))
+	}
+	return work
+}
+
+// utilization returns the utilization of servers at which a request waits for waitPart of the target
+// on average: the mean wait in a queue is u/(1-u) times the mean work of a request.
+func utilization(state State) float64 {
+	if state.Demand.Requests <= 0 || state.Target <= 0 {
+		return maxUtilization
+	}
+	wait := waitPart * float64(state.Target)
+	work := state.Demand.Work / state.Demand.Requests * waitSpread
+	return min(max(wait/(wait+work), minUtilization), maxUtilization)
+}
+
+// smoothed returns the means of the history over smoothSpan, so that the random arrival of requests
+// does not pass for a peak.
+func (s *Scaler) smoothed(from clock.Millis) []sample {
+	var means []sample
+	first, sum := 0, 0.0
+	for i, o := range s.history {
+		sum += o.servers
+		for o.at-s.history[first].at >= smoothSpan {
+			sum -= s.history[first].servers
+			first++
+		}
+		if o.at >= from {
+			means = append(means, sample{o.at, sum / float64(i-first+1)})
+		}
+	}
+	return means
+}
+
+// peak returns the highest demand of the history.
+func (s *Scaler) peak() float64 {
+	peak := 0.0
+	for _, o := range s.smoothed(0) {
+		peak = max(peak, o.servers)
+	}
+	return peak
+}
+
+// forecast returns the demand that is expected when servers of the next order begin to serve, which is
+// the lead time after the least pause between two orders. Growth is extrapolated, bounded by
+// maxGrowth; a fall is not.
+func (s *Scaler) forecast(state State) float64 {
+	recent := s.smoothed(state.Now)
+	current := recent[len(recent)-1].servers
+	ahead := leadTime(state.Service) + orderPause(state.Service) + smoothSpan
+	return min(current+s.growth(state.Now)*float64(ahead), maxGrowth*current)
+}
+
+// growth returns by how many servers the demand grows in a millisecond: the least growth between
+// consecutive parts of trendSpan. Neither a jump nor the rise of a short wave passes for a trend.
+func (s *Scaler) growth(now clock.Millis) float64 {
+	const part = trendSpan / trendParts
+	if now-s.history[0].at < trendSpan {
+		return 0
+	}
+	var sums, counts [trendParts]float64
+	for _, o := range s.history {
+		if age := now - o.at; age < trendSpan {
+			sums[trendParts-1-age/part] += o.servers
+			counts[trendParts-1-age/part]++
+		}
+	}
+	least := math.Inf(1)
+	for i := 1; i < trendParts; i++ {
+		if counts[i-1] == 0 || counts[i] == 0 {
+			return 0
+		}
+		least = min(least, sums[i]/counts[i]-sums[i-1]/counts[i-1])
+	}
+	return max(least, 0) / float64(part)
+}
+
+// usable returns the names of the zones whose servers take work.
+func usable(state State) []declaration.ZoneName {
+	var names []declaration.ZoneName
+	for name, servers := range state.Zones {
+		if !servers.Evacuated && servers.Ready+servers.Cold > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// needed returns how many servers each of the zones needs for the demand, and the reason. With all
+// zones in use it includes the room for the loss of one.
+func needed(state State, demand float64, zones int) (int, Reason) {
+	each := int(math.Ceil(demand / utilization(state) / float64(zones)))
+	if zones > 1 && zones == len(state.Zones) {
+		if room := int(math.Ceil(demand / lossUtilization / float64(zones-1))); room > each {
+			return room, ReasonZoneLoss
+		}
+	}
+	return each, ReasonDemand
+}
+
+// raise returns the orders for more servers. Servers that were ordered and should be present soon
+// count. Servers that this instance alone cannot reach count too: those that crash lose their entry.
+func (s *Scaler) raise(state State) []Decision {
+	zones := usable(state)
+	if len(zones) == 0 {
+		return nil
+	}
+	bounds := state.Service.Scaling
+	expected := s.forecast(state)
+	each, reason := needed(state, expected, len(zones))
+	each = min(max(each, bounds.Min), bounds.Max)
+	var decisions []Decision
+	for _, name := range zones {
+		servers, held := state.Zones[name], s.zones[name]
+		standing := held.standing()
+		have := servers.Ready + servers.Cold + held.coming(state.Now, bounds.Startup)
+		if have >= each || held.orderedAt > 0 && state.Now-held.orderedAt < orderPause(state.Service) {
+			continue
+		}
+		order := min(max(standing, servers.Present)+each-have, bounds.Max)
+		if order <= standing || order <= servers.Present {
+			continue
+		}
+		decisions = append(decisions, Decision{
+			Order:  duty.Order{Service: state.Service.Name, Zone: name, Servers: order},
+			Before: standing, Needed: each, Expected: expected, Reason: reason,
+		})
+	}
+	return decisions
+}
+
+// mayLower reports whether servers may be taken away: all servers have been usable, no roll-out was
+// open, no zone evacuated and the demand whole for the hold span, and the last order is that old.
+func (s *Scaler) mayLower(state State, hold clock.Millis) bool {
+	if state.Now-s.history[0].at < hold || state.Now-s.steadyAt < hold {
+		return false
+	}
+	ready := 0
+	for name, servers := range state.Zones {
+		if held := s.zones[name]; held.orderedAt > 0 && state.Now-held.orderedAt < leadTime(state.Service) {
+			return false
+		}
+		ready += servers.Ready
+	}
+	return ready > 0 && state.Demand.Backlog/float64(ready) < waitPart*float64(state.Target)
+}
+
+// lower returns the orders for fewer servers: one step in each zone that has more than the peak of
+// the hold span needs.
+func (s *Scaler) lower(state State) []Decision {
+	zones := usable(state)
+	if len(zones) < len(state.Zones) {
+		return nil
+	}
+	bounds := state.Service.Scaling
+	expected := s.peak()
+	if s.forecast(state) > expected {
+		return nil // the demand grows
+	}
+	each, _ := needed(state, expected, len(zones))
+	var decisions []Decision
+	for _, name := range zones {
+		servers := state.Zones[name]
+		step := min(max(int(stepPart*float64(servers.Present)), 1), servers.Ready-each, servers.Present-bounds.Min)
+		if float64(servers.Ready)*(1-surplus) < float64(each) || step <= 0 {
+			continue
+		}
+		decisions = append(decisions, Decision{
+			Order:  duty.Order{Service: state.Service.Name, Zone: name, Servers: servers.Present - step},
+			Before: s.zones[name].standing(), Needed: each, Expected: expected, Reason: ReasonSurplus,
+		})
+	}
+	return decisions
+}
--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -16,6 +16,7 @@
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/duty/demander"
 	"example.com/dotterelwell/internal/link/connector"
 	"example.com/dotterelwell/internal/link/packer"
 	"example.com/dotterelwell/internal/machine/clock"
@@ -78,6 +79,9 @@
 	Tallier   *tallier.Tallier
 	// Accountant holds the loads of servers that this and other instances report.
 	Accountant *accountant.Accountant
+	// Demander holds the demand for servers that this and other instances see; nil where none is
+	// counted.
+	Demander *demander.Demander
 	// MessageFunc returns a message with the loads, roll-out stages and departing servers of
 	// this instance. The Gossiper sets the other fields.
 	MessageFunc func() Message
@@ -210,12 +214,19 @@
 	message := g.MessageFunc()
 	message.From, message.Incarnation = g.Instance, g.Incarnation
 	g.Accountant.SetReported(message.Loads)
+	if g.Demander != nil {
+		message.Demand = g.Demander.Own()
+	}
 	if g.InLargeFleet() && g.Watches(g.WatchedKind) {
 		isNeighbour := map[ident.Instance]bool{}
 		for _, p := range g.neighbours() {
 			isNeighbour[p.Instance] = true
 		}
-		message.Sums = g.Accountant.Sums(message.Loads, func(instance ident.Instance) bool { return isNeighbour[instance] })
+		inZone := func(instance ident.Instance) bool { return isNeighbour[instance] }
+		message.Sums = g.Accountant.Sums(message.Loads, inZone)
+		if g.Demander != nil {
+			message.ZoneDemands = g.Demander.Zones(inZone)
+		}
 	}
 	message.Copies = make(map[storer.ObjectKind]CopyStatus, len(g.Informers))
 	for kind, i := range g.Informers {
@@ -271,6 +282,10 @@
 	}
 	g.Accountant.RecordLoads(message.From, message.Loads)
 	g.Accountant.RecordSums(message.Sums)
+	if g.Demander != nil {
+		g.Demander.Record(message.From, message.Demand)
+		g.Demander.RecordZones(message.ZoneDemands)
+	}
 	if g.OnMessage != nil {
 		g.OnMessage(message)
 	}
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -5,6 +5,7 @@
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/crash"
 	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/duty/demander"
 	"example.com/dotterelwell/internal/link/packer"
 	"example.com/dotterelwell/internal/link/tunneler"
 	"example.com/dotterelwell/internal/machine/clock"
@@ -51,6 +52,10 @@
 	Loads accountant.Loads
 	// Sums holds the load sums of zones. Only store watchers of large fleets set it.
 	Sums map[declaration.ZoneName]accountant.Sum
+	// Demand is the demand for servers that the sender sees, and ZoneDemands holds the sums of zones,
+	// which only store watchers of large fleets set. Builds that order no servers leave both nil.
+	Demand      *demander.Report
+	ZoneDemands map[declaration.ZoneName]demander.Report
 	// Stages holds the states of the open roll-outs by service.
 	Stages map[declaration.ServiceName]stager.Stage
 	// Departing holds the servers that announced in an answer that they are leaving, and
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -90,6 +90,7 @@
 	chosen.pending += work
 	chosen.recordStart(now)
 	r.useLimit(chosen, now)
+	r.services[want.Service].sent.add(work)
 	if want.SharedPart != "" {
 		r.placements.record(affinityHash.HashName(want.SharedPart), chosen, now)
 	}
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -121,6 +121,8 @@
 	waiting int
 	// unreachable is the number of servers that this instance had failed to connect to, as last logged.
 	unreachable int
+	// sent counts what was sent to the servers.
+	sent Sent
 }
 
 // Apply updates the table from changed server entries of the store.
