--- a/internal/duty/autoscaler/autoscaler.go
+++ b/internal/duty/autoscaler/autoscaler.go
@@ -31,6 +31,8 @@
 	lateSpan = 20 * clock.Second
 	// maxGap is the longest time without decisions after which the history is still used.
 	maxGap = 4 * clock.Second
+	// logEvery is the interval of the log lines on a service whose number of servers does not change.
+	logEvery = 10 * clock.Second
 	// callPart is the part of the platform's limit of calls that orders may use. The rest is for other
 	// duties and for calls that arrive unevenly.
 	callPart = 0.25
@@ -56,6 +58,10 @@
 	StatesFunc func() ([]scaler.State, bool)
 	// PerSecond is the number of calls that the platform accepts in a second.
 	PerSecond float64
+	// OnState, when set, is called with the number of servers that are present and the number ordered
+	// under this term, 0 for none, at each decision. OnLost, when set, is called when the duty is lost.
+	OnState func(subject Subject, present, desired int)
+	OnLost  func()
 	// OnCall, when set, is called with the result of each call: "done" or the kind of the error.
 	OnCall func(subject Subject, result string)
 
@@ -66,6 +72,9 @@
 	orders  map[Subject]*order
 	// decidedAt is the time of the last decision.
 	decidedAt clock.Millis
+	holds     bool
+	// loggedAt is when the state of each service was last logged.
+	loggedAt map[declaration.ServiceName]clock.Millis
 }
 
 // order is the newest order for a subject.
@@ -95,6 +104,7 @@
 func (a *Autoscaler) Tick(ctx context.Context) {
 	authority, held := a.HeldFunc()
 	if !held {
+		a.lose()
 		return
 	}
 	a.decide(authority)
@@ -105,6 +115,17 @@
 	calls.Wait()
 }
 
+// lose notes that this instance does not hold the duty.
+func (a *Autoscaler) lose() {
+	a.mu.Lock()
+	lost := a.holds
+	a.holds = false
+	a.mu.Unlock()
+	if lost && a.OnLost != nil {
+		a.OnLost()
+	}
+}
+
 // Desired returns the newest order for each subject that this instance gave under its current term.
 func (a *Autoscaler) Desired() map[Subject]int {
 	a.mu.Lock()
@@ -128,6 +149,7 @@
 	if now-a.decidedAt > maxGap {
 		clear(a.scalers)
 	}
+	a.holds = true
 	states, current := a.StatesFunc()
 	if !current {
 		return
@@ -145,6 +167,30 @@
 				"needed", d.Needed, "expected-work", d.Expected, "busy-slots", state.Demand.Busy, "backlog-ms", state.Demand.Backlog, "reason", d.Reason, "term", authority.Term)
 			a.replace(d, now)
 		}
+		a.report(state, s.Expected(state))
+	}
+}
+
+// report logs the state of a service and tells OnState of its zones. The lock must be held.
+func (a *Autoscaler) report(state scaler.State, expected float64) {
+	if at, logged := a.loggedAt[state.Service.Name]; !logged || state.Now-at >= logEvery {
+		if a.loggedAt == nil {
+			a.loggedAt = map[declaration.ServiceName]clock.Millis{}
+		}
+		a.loggedAt[state.Service.Name] = state.Now
+		d := state.Demand
+		klog.InfoS("Demand for servers", "service", state.Service.Name, "work-ms-per-s", int(d.Work), "requests-per-s", d.Requests, "backlog-ms", int(d.Backlog), "busy-slots", d.Busy,
+			"whole", d.Whole, "rollout-open", state.RolloutOpen, "zones", state.Zones, "expected-work", expected, "term", a.term)
+	}
+	if a.OnState == nil {
+		return
+	}
+	for zone, servers := range state.Zones {
+		subject, desired := Subject{state.Service.Name, zone}, 0
+		if o := a.orders[subject]; o != nil {
+			desired = o.Servers
+		}
+		a.OnState(subject, servers.Present, desired)
 	}
 }
 
--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -6,7 +6,9 @@
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/duty"
+	"example.com/dotterelwell/internal/duty/autoscaler"
 	"example.com/dotterelwell/internal/duty/counter"
+	"example.com/dotterelwell/internal/duty/demander"
 	"example.com/dotterelwell/internal/duty/leaser"
 	"example.com/dotterelwell/internal/duty/settler"
 	"example.com/dotterelwell/internal/link/gossiper"
@@ -27,6 +29,8 @@
 	leasers    map[duty.Name]*leaser.Leaser
 	counter    *counter.Counter
 	settler    *settler.Settler
+	demander   *demander.Demander
+	autoscaler *autoscaler.Autoscaler
 }
 
 // wireDuties builds what the settings' duties need.
@@ -46,6 +50,9 @@
 	if h.Profile.Duties.Has(duty.Metering) {
 		h.wireMetering()
 	}
+	if h.Profile.Duties.Has(duty.Scaling) {
+		h.wireScaling()
+	}
 }
 
 func (h *Host) newLeaser(name duty.Name) *leaser.Leaser {
@@ -167,5 +174,8 @@
 	if h.duties.settler != nil {
 		loops = append(loops, h.duties.settler.Run)
 	}
+	if h.duties.autoscaler != nil {
+		loops = append(loops, h.duties.autoscaler.Run)
+	}
 	return loops
 }
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -179,6 +179,9 @@
 		h.Transporter.Sweep()
 		h.Sweeper.Sweep()
 		h.Stager.Tick()
+		if h.duties.demander != nil {
+			h.duties.demander.Sample()
+		}
 		for _, i := range h.informers {
 			i.ExpireKept()
 		}
--- a/internal/machine/meter/meter.go
+++ b/internal/machine/meter/meter.go
@@ -44,6 +44,11 @@
 	Overruns *prometheus.CounterVec
 	// LimitedSends counts requests to backend servers that named a rate limit, by service.
 	LimitedSends *prometheus.CounterVec
+	// ServersPresent and ServersDesired hold the number of backend servers that are present and that
+	// were ordered last, by service and zone, while this instance orders them.
+	ServersPresent, ServersDesired *prometheus.GaugeVec
+	// ServerOrders counts orders of backend servers by service, zone and result.
+	ServerOrders *prometheus.CounterVec
 	// VersionsBad counts versions that this instance found bad.
 	VersionsBad prometheus.Counter
 
@@ -65,6 +70,9 @@
 	m.Claims = m.vector("claims_total", "Decided claims by result.", "result")
 	m.Overruns = m.vector("answer_overruns_total", "Answers of backend servers that exceeded a bound, by the bound.", "bound")
 	m.LimitedSends = m.vector("limited_sends_total", "Requests to backend servers that named a rate limit, by service.", "service")
+	m.ServersPresent = m.gauges("servers_present", "Backend servers that are present, at the instance that orders them.", "service", "zone")
+	m.ServersDesired = m.gauges("servers_desired", "Backend servers ordered last by the instance that orders them; 0 for no order.", "service", "zone")
+	m.ServerOrders = m.vector("server_orders_total", "Orders of backend servers by result.", "service", "zone", "result")
 	m.Resumes = m.counter("stream_resumes_total", "Streams that were resumed.")
 	m.DroppedFrames = m.counter("dropped_frames_total", "Frames that belonged to another request.")
 	m.BillsWritten = m.counter("bills_written_total", "Bill records that became durable.")
@@ -90,6 +98,12 @@
 	return v
 }
 
+func (m *Meter) gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.registry.MustRegister(g)
+	return g
+}
+
 func (m *Meter) counter(name, help string) prometheus.Counter {
 	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
 	m.registry.MustRegister(c)
