--- a/internal/duty/autoscaler/autoscaler.go
+++ b/internal/duty/autoscaler/autoscaler.go
@@ -161,6 +161,7 @@
 			s = &scaler.Scaler{}
 			a.scalers[state.Service.Name] = s
 		}
+		a.holdBack(state)
 		state.Unsettled = a.unsettled(state.Service.Name)
 		for _, d := range s.Decide(state) {
 			klog.InfoS("Servers are ordered", "service", d.Order.Service, "zone", d.Order.Zone, "servers", d.Order.Servers, "before", d.Before, "present", state.Zones[d.Order.Zone].Present,
@@ -194,6 +195,21 @@
 	}
 }
 
+// holdBack drops the orders that are to be sent again and would take servers away in a roll-out: the
+// platform counts the servers of both sides. The lock must be held.
+func (a *Autoscaler) holdBack(state scaler.State) {
+	for zone, servers := range state.Zones {
+		o := a.orders[Subject{state.Service.Name, zone}]
+		if o == nil || !state.RolloutOpen || o.Servers >= servers.Present+servers.OtherSide {
+			continue
+		}
+		o.dueAt, o.backoff = 0, 0
+		if state.Now-o.unansweredAt >= lateSpan {
+			o.unansweredAt = 0
+		}
+	}
+}
+
 // unsettled reports whether an order for a service has not been answered, or an earlier call may
 // still take effect. The lock must be held.
 func (a *Autoscaler) unsettled(service declaration.ServiceName) bool {
--- a/internal/duty/autoscaler/autoscaler_test.go
+++ b/internal/duty/autoscaler/autoscaler_test.go
@@ -29,6 +29,9 @@
 	// answer returns the error of a call; nil carries all out.
 	answer func(call) error
 
+	// otherSide is the number of servers of another release in each zone, during a roll-out.
+	otherSide int
+
 	mu      sync.Mutex
 	servers map[declaration.ZoneName]int
 	calls   []call
@@ -72,10 +75,11 @@
 		Demand:  scaler.Demand{Work: 1000 * w.demand, Requests: 5 * w.demand, Whole: true},
 		Zones:   map[declaration.ZoneName]scaler.Servers{},
 	}
+	state.RolloutOpen = w.otherSide > 0
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for name, n := range w.servers {
-		state.Zones[name] = scaler.Servers{Present: n, Ready: n}
+		state.Zones[name] = scaler.Servers{Present: n, OtherSide: w.otherSide, Ready: n}
 	}
 	return []scaler.State{state}, true
 }
@@ -272,3 +276,24 @@
 		t.Errorf("calls %+v", w.calls)
 	}
 }
+
+// TestUnansweredOrderBeforeRollout has an order that gets no answer, and then a roll-out with as many
+// servers of another release. To repeat the order would take servers away.
+func TestUnansweredOrderBeforeRollout(t *testing.T) {
+	w := newWorld(12)
+	h := w.holder(duty.Authority{Holder: "x", Term: 3})
+	w.answer = func(call) error { return failure(duty.KindUnavailable) }
+	w.demand = 30
+	w.play(6*clock.Second, h)
+	before := len(w.calls)
+	if before == 0 {
+		t.Fatal("nothing was ordered")
+	}
+	w.otherSide, w.answer = 12, nil
+	w.play(60*clock.Second, h)
+	for _, c := range w.calls[before:] {
+		if c.order.Servers < 24 {
+			t.Errorf("call %+v while 24 servers of both sides are present", c)
+		}
+	}
+}
--- a/internal/duty/scaler/scaler.go
+++ b/internal/duty/scaler/scaler.go
@@ -28,9 +28,10 @@
 	// minUtilization and maxUtilization bound the utilization of servers at which requests begin in
 	// time. Estimates of work are not exact, and prompts kept by servers make the work uneven.
 	minUtilization, maxUtilization = 0.3, 0.7
-	// lossUtilization is the utilization after the loss of a zone: requests wait longer until servers
-	// ordered in its place serve, but no queue grows without end.
-	lossUtilization = 0.9
+	// lossUtilization is the utilization of the rest after the loss of a zone, for which room is kept:
+	// requests wait longer until servers ordered in its place serve, but queues don't grow, although
+	// prompts that the lost servers had cached are read again. At maxLossUtilization more are ordered.
+	lossUtilization, maxLossUtilization = 0.9, 1.0
 	// slotUtilization is the part of the slots that may be taken.
 	slotUtilization = 0.8
 	// maxGrowth bounds the forecast, relative to the demand now.
@@ -73,11 +74,14 @@
 
 // Servers counts the servers of a service in one zone.
 type Servers struct {
-	// Present is the number of servers with an entry, on both sides of a roll-out.
+	// Present is the number of servers with an entry. During a roll-out it counts the larger side, as do
+	// Ready and Cold, because only one side remains.
 	Present int
+	// OtherSide is the number of servers with an entry on the smaller side. The platform counts both
+	// sides: an order below their sum takes servers away, on whichever side.
+	OtherSide int
 	// Ready is the number of those that take work now at full speed, and Cold the number of those that
-	// will after their cold start, on the larger side of a roll-out: only one side remains. The rest is
-	// leaving or cannot be reached.
+	// will after their cold start. The rest is leaving or cannot be reached.
 	Ready, Cold int
 	// Evacuated is set while the zone's servers take no new work.
 	Evacuated bool
@@ -124,6 +128,8 @@
 	zones   map[declaration.ZoneName]*zone
 	// steadyAt is when something last made the number of usable servers uncertain.
 	steadyAt clock.Millis
+	// rolloutOpen is set if a roll-out was open at the last decision.
+	rolloutOpen bool
 }
 
 // zone is what the scaler remembers of one zone.
@@ -224,12 +230,16 @@
 		if servers.Present > 0 {
 			held.seenAt = state.Now
 		}
+		if s.rolloutOpen && !state.RolloutOpen {
+			held.ordered, held.orderedAt, held.present = 0, 0, nil // one side is gone, with what was ordered for it
+		}
 		held.present = append(slices.DeleteFunc(held.present, expired), sample{state.Now, float64(servers.Present)})
 		steady = steady && !servers.Evacuated && float64(servers.Ready) >= steadyPart*float64(held.highest())
 	}
 	if !steady {
 		s.steadyAt = state.Now
 	}
+	s.rolloutOpen = state.RolloutOpen
 }
 
 // highest is the highest number of servers that was present lately. Fewer servers than that may
@@ -278,11 +288,11 @@
 }
 
 // needed returns how many servers each of the zones needs for the demand, and the reason. With all
-// zones in use it includes the room for the loss of one.
-func needed(state State, demand float64, zones int) (int, Reason) {
+// zones in use it includes the room for the loss of one, whose rest may be utilized as given.
+func needed(state State, demand float64, zones int, afterLoss float64) (int, Reason) {
 	each := int(math.Ceil(demand / utilization(state) / float64(zones)))
 	if zones > 1 && zones == len(state.Zones) {
-		if room := int(math.Ceil(demand / lossUtilization / float64(zones-1))); room > each {
+		if room := int(math.Ceil(demand / afterLoss / float64(zones-1))); room > each {
 			return room, ReasonZoneLoss
 		}
 	}
@@ -298,14 +308,19 @@
 	}
 	bounds := state.Service.Scaling
 	expected := s.forecast(state)
-	each, reason := needed(state, expected, len(zones))
+	least, reason := needed(state, expected, len(zones), maxLossUtilization)
+	least = min(max(least, bounds.Min), bounds.Max)
+	each, _ := needed(state, expected, len(zones), lossUtilization)
 	each = min(max(each, bounds.Min), bounds.Max)
 	var decisions []Decision
 	for _, name := range zones {
 		servers, held := state.Zones[name], s.zones[name]
 		standing := held.standing()
+		if state.RolloutOpen {
+			standing = max(standing, servers.Present+servers.OtherSide)
+		}
 		have := servers.Ready + servers.Cold + held.coming(state.Now, bounds.Startup)
-		if have >= each || held.orderedAt > 0 && state.Now-held.orderedAt < orderPause(state.Service) {
+		if have >= least || held.orderedAt > 0 && state.Now-held.orderedAt < orderPause(state.Service) {
 			continue
 		}
 		order := min(max(standing, servers.Present)+each-have, bounds.Max)
@@ -348,7 +363,7 @@
 	if s.forecast(state) > expected {
 		return nil // the demand grows
 	}
-	each, _ := needed(state, expected, len(zones))
+	each, _ := needed(state, expected, len(zones), lossUtilization)
 	var decisions []Decision
 	for _, name := range zones {
 		servers := state.Zones[name]
--- a/internal/duty/scaler/scaler_test.go
+++ b/internal/duty/scaler/scaler_test.go
@@ -195,19 +195,24 @@
 	}
 }
 
-// TestRollout has servers of two releases beside each other, with little demand: twice the number is
-// present, and nothing may be taken away until it is over.
-func TestRollout(t *testing.T) {
-	f := newFleet(30, func(clock.Millis) float64 { return 20 })
+// rollOut adds as many servers of another release until a time.
+func (f *fleet) rollOut(until clock.Millis) {
 	f.change = func(state *scaler.State) {
-		if state.Now < 60*clock.Second {
+		if state.Now < until {
 			state.RolloutOpen = true
 			for name, servers := range state.Zones {
-				servers.Present *= 2
+				servers.OtherSide = servers.Present
 				state.Zones[name] = servers
 			}
 		}
 	}
+}
+
+// TestRollout has a roll-out with little demand. Which servers remain is not certain, and nothing may be
+// taken away until it is over.
+func TestRollout(t *testing.T) {
+	f := newFleet(30, func(clock.Millis) float64 { return 20 })
+	f.rollOut(60 * clock.Second)
 	f.play(75*clock.Second, nil)
 	if len(f.orders) > 0 {
 		t.Errorf("orders %v during a roll-out or within 15 s of its end", f.orders)
@@ -218,6 +223,34 @@
 	}
 }
 
+// TestRolloutUnderLoad has a roll-out with more demand than one side can carry. The platform counts
+// the servers of both sides: an order for more than one side, and less than both, takes servers away. At
+// the maximum nothing can be ordered; after the roll-out the demand must be met.
+func TestRolloutUnderLoad(t *testing.T) {
+	f := newFleet(30, func(clock.Millis) float64 { return 80 })
+	f.rollOut(30 * clock.Second)
+	f.play(30*clock.Second, nil)
+	if len(f.orders) > 0 {
+		t.Fatalf("orders %v at the maximum of 60 servers of both sides", f.orders)
+	}
+	f.play(50*clock.Second, nil)
+	if all, _ := f.ready(); float64(all)*0.7 < 80 {
+		t.Errorf("%d servers for the work of 80, orders %v", all, f.orders)
+	}
+
+	f = newFleet(20, func(clock.Millis) float64 { return 60 })
+	f.rollOut(30 * clock.Second)
+	f.play(30*clock.Second, nil)
+	if f.count(false) == 0 {
+		t.Error("no orders below the maximum")
+	}
+	for _, o := range f.orders {
+		if o.servers <= 40 {
+			t.Errorf("order %+v takes servers of the 40 of both sides away", o)
+		}
+	}
+}
+
 // TestNight has demand that falls to a tenth. Servers go in steps of an eighth, a lead time apart, and
 // never below the minimum or the room for the loss of a zone.
 func TestNight(t *testing.T) {
--- a/internal/machine/host/scaling.go
+++ b/internal/machine/host/scaling.go
@@ -80,7 +80,8 @@
 			Zones: map[declaration.ZoneName]scaler.Servers{},
 		}
 		for zone, c := range h.Roster.Census(name) {
-			state.Zones[zone] = scaler.Servers{Present: c.Present, Ready: c.Ready, Cold: c.Cold, Evacuated: view.EvacuatedZones[zone]}
+			state.Zones[zone] = scaler.Servers{Present: c.Present, OtherSide: c.OtherSide, Ready: c.Ready, Cold: c.Cold, Evacuated: view.EvacuatedZones[zone]}
+			state.RolloutOpen = state.RolloutOpen || c.Mixed // the order for a roll-out may come after its servers
 			state.Demand.Busy += c.Busy
 			state.Demand.Backlog += float64(c.Backlog)
 		}
--- a/internal/machine/roster/census.go
+++ b/internal/machine/roster/census.go
@@ -2,6 +2,7 @@
 
 import (
 	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/machine/clock"
 )
 
@@ -30,8 +31,11 @@
 
 // Census describes the servers of a service in one zone.
 type Census struct {
-	// Present is the number of servers with an entry.
-	Present int
+	// Present is the number of servers with an entry. During a roll-out it counts the larger side, and
+	// OtherSide the smaller one.
+	Present, OtherSide int
+	// Mixed is set while servers of more than one release are present.
+	Mixed bool
 	// Ready is the number of those that take work at full speed, and Cold the number of those that do
 	// after their cold start. During a roll-out both count the servers of the larger side. The rest is
 	// leaving, failing or cannot be reached from here.
@@ -54,10 +58,15 @@
 		return zones
 	}
 	order, ordered := view.Rollouts[service]
+	releases := map[declaration.ZoneName]backend.Release{}
 	other := map[declaration.ZoneName]Census{} // the servers that run another release than the target
 	for _, w := range g.rows {
 		z := zones[w.info.Zone]
-		z.Present++
+		if release, seen := releases[w.info.Zone]; !seen {
+			releases[w.info.Zone] = w.info.Release
+		} else if release != w.info.Release {
+			z.Mixed = true
+		}
 		z.Busy += w.inFlight + w.peers.Requests
 		z.Backlog += clock.Millis(w.estimatedWait(now))
 		side, usable := &z, !w.leaving() && w.expiresAt == 0 && w.failureShare(now) < failingShare
@@ -65,6 +74,7 @@
 		if ordered && w.info.Release != order.Target {
 			side = &otherSide
 		}
+		side.Present++
 		switch {
 		case !usable || w.unreachable:
 		case w.cold(now):
@@ -75,10 +85,12 @@
 		zones[w.info.Zone], other[w.info.Zone] = z, otherSide
 	}
 	for name, o := range other {
-		if z := zones[name]; o.Ready+o.Cold > z.Ready+z.Cold {
-			z.Ready, z.Cold = o.Ready, o.Cold
-			zones[name] = z
+		z := zones[name]
+		z.OtherSide = o.Present
+		if o.Ready+o.Cold > z.Ready+z.Cold {
+			z.Present, z.OtherSide, z.Ready, z.Cold = o.Present, z.Present, o.Ready, o.Cold
 		}
+		zones[name] = z
 	}
 	return zones
 }
