--- a/internal/duty/autoscaler/autoscaler.go
+++ b/internal/duty/autoscaler/autoscaler.go
@@ -1,8 +1,8 @@
 // Package autoscaler orders backend servers from the platform while this instance holds the duty.
 //
 // The decisions are those of package scaler. A call that gets no answer may take effect seconds later,
-// after newer calls. So only the newest order of a service and zone is ever sent again, and it is sent
-// once more when no earlier call can take effect any longer.
+// after newer calls. So only the newest order of a service and zone is ever sent again, and it is
+// repeated until no earlier call can take effect any longer.
 package autoscaler
 
 import (
@@ -29,6 +29,8 @@
 	maxBackoff                = 8 * clock.Second
 	// lateSpan is how long after a call without an answer the call may still take effect.
 	lateSpan = 20 * clock.Second
+	// repeatEvery is the pause between two calls with the newest order in that time.
+	repeatEvery = 5 * clock.Second
 	// maxGap is the longest time without decisions after which the history is still used.
 	maxGap = 4 * clock.Second
 	// logEvery is the interval of the log lines on a service whose number of servers does not change.
@@ -293,7 +295,7 @@
 			if now-o.unansweredAt >= lateSpan {
 				o.unansweredAt = 0
 			} else {
-				o.dueAt = o.unansweredAt + lateSpan
+				o.dueAt = min(now+repeatEvery, o.unansweredAt+lateSpan)
 			}
 		}
 		return result
--- a/internal/duty/demander/demander.go
+++ b/internal/duty/demander/demander.go
@@ -112,8 +112,8 @@
 	for _, service := range services {
 		before, after := first.sent[service], last.sent[service]
 		if demand := (Demand{
-			Requests: int(float64(after.Requests-before.Requests)*scale + 0.5),
-			Work:     clock.Millis((after.Work-before.Work)*scale + 0.5),
+			Requests: int(float64(max(after.Requests-before.Requests, 0))*scale + 0.5),
+			Work:     clock.Millis(max(after.Work-before.Work, 0)*scale + 0.5),
 		}); demand != (Demand{}) {
 			own.Services[service] = demand
 		}
--- a/internal/duty/scaler/scaler.go
+++ b/internal/duty/scaler/scaler.go
@@ -128,8 +128,10 @@
 	zones   map[declaration.ZoneName]*zone
 	// steadyAt is when something last made the number of usable servers uncertain.
 	steadyAt clock.Millis
-	// rolloutOpen is set if a roll-out was open at the last decision.
-	rolloutOpen bool
+	// rolloutOpen is set if a roll-out was open at the last decision; the last one ended at
+	// rolloutEndedAt.
+	rolloutOpen    bool
+	rolloutEndedAt clock.Millis
 }
 
 // zone is what the scaler remembers of one zone.
@@ -157,6 +159,9 @@
 	if len(s.history) == 0 || state.Now-s.history[0].at < settleSpan {
 		return nil
 	}
+	if s.rolloutEndedAt > 0 && state.Now-s.rolloutEndedAt < settleSpan {
+		return nil // the entries of the side that was stopped lapse only now
+	}
 	var decisions []Decision
 	decisions = append(decisions, s.raise(state)...)
 	if len(decisions) == 0 && !state.Unsettled && s.mayLower(state, hold) {
@@ -234,24 +239,39 @@
 			held.ordered, held.orderedAt, held.present = 0, 0, nil // one side is gone, with what was ordered for it
 		}
 		held.present = append(slices.DeleteFunc(held.present, expired), sample{state.Now, float64(servers.Present)})
-		steady = steady && !servers.Evacuated && float64(servers.Ready) >= steadyPart*float64(held.highest())
+		steady = steady && !servers.Evacuated && servers.Ready > 0 && float64(servers.Ready) >= steadyPart*float64(held.usual())
 	}
 	if !steady {
 		s.steadyAt = state.Now
 	}
+	if s.rolloutOpen && !state.RolloutOpen {
+		s.rolloutEndedAt = state.Now
+	}
 	s.rolloutOpen = state.RolloutOpen
 }
 
-// highest is the highest number of servers that was present lately. Fewer servers than that may
-// be back soon.
-func (z *zone) highest() int {
+// usual is the number of servers that is usually present: the third quartile of what was seen lately.
+// Servers that crash are missed for most of that time, and those that start again under other names,
+// beside entries that have not lapsed yet, don't count.
+func (z *zone) usual() int {
+	if len(z.present) == 0 {
+		return 0
+	}
+	counts := make([]float64, 0, len(z.present))
+	for _, o := range z.present {
+		counts = append(counts, o.servers)
+	}
+	slices.Sort(counts)
+	usual := int(counts[len(counts)*3/4])
 	if z.ordered > 0 {
-		return min(z.ordered, z.peakPresent())
+		return min(z.ordered, usual)
 	}
-	return z.peakPresent()
+	return usual
 }
 
-func (z *zone) peakPresent() int { return z.peakSince(0) }
+// standing is the number of servers that the platform keeps in the zone, as far as known. It includes
+// servers that crashed: an order below it would take servers away.
+func (z *zone) standing() int { return max(z.ordered, z.usual()) }
 
 func (z *zone) peakSince(from clock.Millis) int {
 	peak := 0.0
@@ -263,18 +283,18 @@
 	return int(peak)
 }
 
-// coming is the number of servers that were ordered, are not present yet and should be soon.
-func (z *zone) coming(now, startup clock.Millis) int {
-	if z.ordered == 0 || now-z.orderedAt >= lateFactor*startup {
+// coming is the number of servers that were ordered, are not present yet and should be soon. Those
+// that an earlier order took away late come back when the newest one is repeated.
+func (z *zone) coming(state State, present int) int {
+	if z.ordered == 0 || state.Now-z.orderedAt >= lateFactor*state.Service.Scaling.Startup {
 		return 0
 	}
+	if state.Unsettled {
+		return max(z.ordered-present, 0)
+	}
 	return max(z.ordered-max(z.before, z.peakSince(z.orderedAt)), 0)
 }
 
-// standing is the number of servers that the platform keeps in the zone, as far as known. It includes
-// servers that crashed: an order below it would take servers away.
-func (z *zone) standing() int { return max(z.ordered, z.highest()) }
-
 // usable returns the names of the zones whose servers take work.
 func usable(state State) []declaration.ZoneName {
 	var names []declaration.ZoneName
@@ -319,7 +339,7 @@
 		if state.RolloutOpen {
 			standing = max(standing, servers.Present+servers.OtherSide)
 		}
-		have := servers.Ready + servers.Cold + held.coming(state.Now, bounds.Startup)
+		have := servers.Ready + servers.Cold + held.coming(state, servers.Present)
 		if have >= least || held.orderedAt > 0 && state.Now-held.orderedAt < orderPause(state.Service) {
 			continue
 		}
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -266,6 +266,9 @@
 		s.endTrial(false)
 	}
 	s.row.inFlight--
+	if g := r.services[s.row.info.Service]; g != nil && (result == ResultNotRun || result == ResultUnreachable) {
+		g.sent.remove(s.work) // no demand that a server met: another attempt follows
+	}
 	warmup := clock.Millis(0)
 	if config := r.ViewFunc().Config; config != nil {
 		if service := config.Services[s.row.info.Service]; service != nil {
--- a/internal/machine/roster/census.go
+++ b/internal/machine/roster/census.go
@@ -6,7 +6,8 @@
 	"example.com/dotterelwell/internal/machine/clock"
 )
 
-// Sent counts what this instance has sent to the servers of a service since it started.
+// Sent counts what this instance has sent to the servers of a service since it started, without what
+// they did not run.
 type Sent struct {
 	Requests int64
 	// Work is the estimated server time of their prompts, in milliseconds.
@@ -18,6 +19,11 @@
 	s.Work += work
 }
 
+func (s *Sent) remove(work float64) {
+	s.Requests--
+	s.Work -= work
+}
+
 // Sent returns the counts of all services.
 func (r *Roster) Sent() map[declaration.ServiceName]Sent {
 	r.mu.Lock()
