Number of servers: sums of zones go to the holder only

At 27 zones the sums took 1,330 bytes in each message of a zone's watcher, to every instance of the zone; now followers get none of them, and watchers of other zones one sum.

--- a/internal/duty/demander/demander.go
+++ b/internal/duty/demander/demander.go
@@ -151,20 +151,32 @@
 	}
 }
 
-// Zones returns the unexpired sums of all zones for a store watcher's messages. It computes that of its
-// own zone from the reports of the instances for which inZone returns true; nil while the fleet orders
-// no servers.
-func (d *Demander) Zones(inZone func(ident.Instance) bool) map[declaration.ZoneName]Report {
+// OwnZone returns the sum of this instance's zone, from the reports of the instances for which inZone
+// returns true; nil while the fleet orders no servers.
+func (d *Demander) OwnZone(inZone func(ident.Instance) bool) map[declaration.ZoneName]Report {
 	own := d.Own()
 	if own == nil {
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	sums := d.freshZones(now)
-	d.addReports(own, now, inZone)
-	sums[d.Zone] = *own
+	d.addReports(own, d.Clock.Now(), inZone)
+	return map[declaration.ZoneName]Report{d.Zone: *own}
+}
+
+// Zones returns the sum of this instance's zone, as OwnZone does, and the unexpired sums of all others.
+func (d *Demander) Zones(inZone func(ident.Instance) bool) map[declaration.ZoneName]Report {
+	sums := d.OwnZone(inZone)
+	if sums == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for zone, sum := range d.freshZones(d.Clock.Now()) {
+		if zone != d.Zone {
+			sums[zone] = sum
+		}
+	}
 	return sums
 }
 
@@ -188,23 +200,32 @@
 	}
 }
 
-// Total returns the demand that all instances see. bySums is set in a large fleet. Instances tells how
-// many reports it includes.
-func (d *Demander) Total(bySums bool) Report {
-	total := d.Own()
-	if total == nil {
+// Total returns the demand that all instances see. large is set in a large fleet, whose sums are used.
+// There, the sum of this instance's zone comes from the zone's watcher, or from the reports that this
+// instance received as such, whichever holds more. Instances tells how many reports the total includes.
+func (d *Demander) Total(large bool, inZone func(ident.Instance) bool) Report {
+	if !large {
+		inZone = func(ident.Instance) bool { return true }
+	}
+	zone := d.OwnZone(inZone)
+	if zone == nil {
 		return Report{}
 	}
+	total := zone[d.Zone]
+	if !large {
+		return total
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	if !bySums {
-		d.addReports(total, now, func(ident.Instance) bool { return true })
-		return *total
-	}
-	total = &Report{}
-	for _, sum := range d.freshZones(now) {
-		total.add(sum)
+	sums := d.freshZones(d.Clock.Now())
+	if sums[d.Zone].Instances > total.Instances {
+		total = Report{}
+		total.add(sums[d.Zone])
+	}
+	for name, sum := range sums {
+		if name != d.Zone {
+			total.add(sum)
+		}
 	}
-	return *total
+	return total
 }
--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -81,9 +81,6 @@
 	Tallier   *tallier.Tallier
 	// Accountant holds the loads of servers that this and other instances report.
 	Accountant *accountant.Accountant
-	// Demander holds the demand for servers that this and other instances see; nil where none is
-	// counted.
-	Demander *demander.Demander
 	// MessageFunc returns a message with the loads, roll-out stages and departing servers of
 	// this instance. The Gossiper sets the other fields.
 	MessageFunc func() Message
@@ -91,6 +88,9 @@
 	OnMessage func(Message)
 	// UsageFunc, if set, returns the counts of requests for a peer. asked is set for an answer.
 	UsageFunc func(peer Peer, asked bool) counter.Report
+	// DemandFunc, if set, returns the demand for servers that a message to a peer carries, as Demand and
+	// ZoneDemands. asked is set for an answer.
+	DemandFunc func(peer Peer, asked bool) (own *demander.Report, zones map[declaration.ZoneName]demander.Report)
 	// Timekeeper, if set, learns the clocks of peers.
 	Timekeeper *timekeeper.Timekeeper
 	// HolderFunc, if set, returns the instance that counts of requests are meant for. In a small
@@ -179,6 +179,9 @@
 	if g.UsageFunc != nil {
 		message.Usage = g.UsageFunc(p, false)
 	}
+	if g.DemandFunc != nil {
+		message.Demand, message.ZoneDemands = g.DemandFunc(p, false)
+	}
 	var reply Message
 	began := g.Clock.Now()
 	err := g.call(ctx, p, "Exchange", message, &reply)
@@ -233,19 +236,12 @@
 		message.Clock = g.Clock.Now()
 	}
 	g.Accountant.SetReported(message.Loads)
-	if g.Demander != nil {
-		message.Demand = g.Demander.Own()
-	}
 	if g.InLargeFleet() && g.Watches(g.WatchedKind) {
 		isNeighbour := map[ident.Instance]bool{}
 		for _, p := range g.neighbours() {
 			isNeighbour[p.Instance] = true
 		}
-		inZone := func(instance ident.Instance) bool { return isNeighbour[instance] }
-		message.Sums = g.Accountant.Sums(message.Loads, inZone)
-		if g.Demander != nil {
-			message.ZoneDemands = g.Demander.Zones(inZone)
-		}
+		message.Sums = g.Accountant.Sums(message.Loads, func(instance ident.Instance) bool { return isNeighbour[instance] })
 	}
 	message.Copies = make(map[storer.ObjectKind]CopyStatus, len(g.Informers))
 	for kind, i := range g.Informers {
@@ -301,10 +297,6 @@
 	}
 	g.Accountant.RecordLoads(message.From, message.Loads)
 	g.Accountant.RecordSums(message.Sums)
-	if g.Demander != nil {
-		g.Demander.Record(message.From, message.Demand)
-		g.Demander.RecordZones(message.ZoneDemands)
-	}
 	if g.OnMessage != nil {
 		g.OnMessage(message)
 	}
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -55,7 +55,7 @@
 	// Sums holds the load sums of zones. Only store watchers of large fleets set it.
 	Sums map[declaration.ZoneName]accountant.Sum
 	// Demand is the demand for servers that the sender sees, and ZoneDemands holds the sums of zones,
-	// which only store watchers of large fleets set. Builds that order no servers leave both nil.
+	// which only store watchers of large fleets send. Builds that order no servers leave both nil.
 	Demand      *demander.Report
 	ZoneDemands map[declaration.ZoneName]demander.Report
 	// Stages holds the states of the open roll-outs by service.
--- a/internal/link/gossiper/service.go
+++ b/internal/link/gossiper/service.go
@@ -27,6 +27,9 @@
 			if g.UsageFunc != nil {
 				reply.Usage = g.UsageFunc(p, true)
 			}
+			if g.DemandFunc != nil {
+				reply.Demand, reply.ZoneDemands = g.DemandFunc(p, true)
+			}
 			go g.catchUp(context.Background(), p, args.Copies)
 		}
 	}
--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -160,6 +160,10 @@
 			l.Merge(claim)
 		}
 	}
+	if h.duties.demander != nil {
+		h.duties.demander.Record(n.From, n.Demand)
+		h.duties.demander.RecordZones(n.ZoneDemands)
+	}
 	if h.duties.counter != nil {
 		h.duties.counter.Merge(n.Incarnation, n.Usage)
 	}
--- a/internal/machine/host/scaling.go
+++ b/internal/machine/host/scaling.go
@@ -8,7 +8,9 @@
 	"example.com/dotterelwell/internal/duty/autoscaler"
 	"example.com/dotterelwell/internal/duty/demander"
 	"example.com/dotterelwell/internal/duty/scaler"
+	"example.com/dotterelwell/internal/link/gossiper"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/platform"
 )
 
@@ -24,7 +26,7 @@
 func (h *Host) wireScaling() {
 	d := &h.duties
 	d.demander = &demander.Demander{Clock: h.Clock, Zone: h.Profile.Zone, SentFunc: h.Roster.Sent, ServicesFunc: h.scaledServices}
-	h.Gossiper.Demander = d.demander
+	h.Gossiper.DemandFunc = h.demandFor
 	held := d.leasers[duty.Scaling]
 	d.autoscaler = &autoscaler.Autoscaler{
 		Clock: h.Clock, HeldFunc: held.Held, SupersededFunc: held.Superseded, ScaleFunc: d.platform.Scale,
@@ -43,6 +45,39 @@
 	}
 }
 
+// demandFor returns the demand for servers that a message to a peer carries. In a small fleet all
+// instances tell theirs to whom they talk. In a large one they tell it to those that they call in their
+// zone, among them its watcher, which tells the zone's to watchers of other zones, and all to the holder.
+func (h *Host) demandFor(peer gossiper.Peer, asked bool) (own *demander.Report, zones map[declaration.ZoneName]demander.Report) {
+	d := h.duties.demander
+	large, sameZone := h.Gossiper.InLargeFleet(), peer.Zone == h.Profile.Zone
+	if !large || !asked && sameZone {
+		own = d.Own()
+	}
+	if !large || !h.Gossiper.Watches(h.Gossiper.WatchedKind) {
+		return own, nil
+	}
+	claim, _ := h.duties.leasers[duty.Scaling].Claim()
+	switch {
+	case peer.Instance == claim.Holder:
+		zones = d.Zones(h.inZone())
+	case !sameZone:
+		zones = d.OwnZone(h.inZone())
+	}
+	return own, zones
+}
+
+// inZone returns a function that reports whether an instance is in this one's zone.
+func (h *Host) inZone() func(ident.Instance) bool {
+	members := map[ident.Instance]bool{}
+	for _, p := range h.Enlister.Peers() {
+		if p.Zone == h.Profile.Zone {
+			members[p.Instance] = true
+		}
+	}
+	return func(instance ident.Instance) bool { return members[instance] }
+}
+
 // scaledServices returns the services whose servers are ordered.
 func (h *Host) scaledServices() []declaration.ServiceName {
 	config := h.Curator.View().Config
@@ -65,7 +100,7 @@
 	if !h.informed() || h.informers[platform.ServerKind].Age() > maxServersAge {
 		return nil, false
 	}
-	total := h.duties.demander.Total(h.Gossiper.InLargeFleet())
+	total := h.duties.demander.Total(h.Gossiper.InLargeFleet(), h.inZone())
 	whole := float64(total.Instances) >= wholePart*float64(len(h.Enlister.Names()))
 	var states []scaler.State
 	for _, name := range h.scaledServices() {
