--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -31,6 +31,13 @@
 	settler    *settler.Settler
 	demander   *demander.Demander
 	autoscaler *autoscaler.Autoscaler
+	client     *http.Client
+}
+
+func (d *duties) close() {
+	if d.client != nil {
+		d.client.CloseIdleConnections()
+	}
 }
 
 // wireDuties builds what the settings' duties need.
@@ -38,9 +45,9 @@
 	if h.Profile.Duties.Address == "" || len(h.Profile.Duties.Names()) == 0 {
 		return
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: h.outside.DialFunc, MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	h.duties.client = &http.Client{Transport: &http.Transport{DialContext: h.outside.DialFunc, MaxIdleConnsPerHost: 2, DisableCompression: true}}
 	d := &h.duties
-	d.platform = platform.NewDutyPlatform(h.Profile.Duties.Address, client, dutyTimeout)
+	d.platform = platform.NewDutyPlatform(h.Profile.Duties.Address, d.client, dutyTimeout)
 	d.timekeeper = &timekeeper.Timekeeper{Clock: h.Clock}
 	h.Gossiper.Timekeeper = d.timekeeper
 	d.leasers = map[duty.Name]*leaser.Leaser{}
@@ -58,11 +65,12 @@
 func (h *Host) newLeaser(name duty.Name) *leaser.Leaser {
 	l := &leaser.Leaser{
 		Clock: h.Clock, Store: h.Store, Duty: name, Instance: h.Profile.Instance, Incarnation: h.tallier.Owner,
-		LeaseFunc:     func() clock.Millis { return h.currentBounds().Lease },
-		CandidateFunc: func() bool { return h.Gossiper.HoldsDuty(declaration.ServiceName(name)) },
-		TouchFunc:     h.touch,
-		StoppingFunc:  func() bool { return h.draining.Load() || !h.Enlister.Synced() },
-		OnSilent:      func(holder ident.Instance) { h.Gossiper.SendTo(context.Background(), holder) },
+		LeaseFunc:          func() clock.Millis { return h.currentBounds().Lease },
+		CandidateFunc:      func() bool { return h.Gossiper.HoldsDuty(declaration.ServiceName(name)) },
+		TouchFunc:          h.touch,
+		StoppingFunc:       func() bool { return h.draining.Load() || !h.Enlister.Synced() },
+		StoreElsewhereFunc: func() bool { return h.Gossiper.StoreElsewhere(h.Gossiper.DutyKind) },
+		OnSilent:           func(holder ident.Instance) { h.Gossiper.SendTo(context.Background(), holder) },
 		OnClaim: func(before ident.Instance) {
 			if before != "" && before != h.Profile.Instance {
 				h.Gossiper.SendTo(context.Background(), before)
@@ -79,8 +87,15 @@
 	return l
 }
 
+// quietSpanOfPeers is the time without a message of any peer after which an instance counts as cut
+// off from all. It exceeds two rounds.
+const quietSpanOfPeers clock.Millis = 1600
+
 // touch returns the share of the instances that this one reaches.
 func (h *Host) touch() float64 {
+	if !h.Gossiper.HeardWithin(quietSpanOfPeers) {
+		return 0
+	}
 	_, share := h.Gossiper.Reachable()
 	return share
 }
@@ -96,11 +111,11 @@
 	h.Gossiper.HolderFunc = h.meteringHolder
 	h.Runner.OnBegin = d.counter.Count
 	d.settler = &settler.Settler{
-		Clock: h.Clock, Store: h.Store, Platform: d.platform, HeldFunc: held.Held, OnSuperseded: held.Superseded,
+		Clock: h.Clock, Store: h.Store, Platform: d.platform, HeldFunc: held.Held, OnSuperseded: held.Superseded, OnStoreError: held.Doubt,
 		NowFunc: d.timekeeper.Now, EndFunc: d.counter.End, PeriodFunc: d.counter.PeriodAt,
 		TotalFunc: func(p duty.Period) map[declaration.WorkspaceName]int { return d.counter.Total(p) },
 		FirstFunc: d.counter.First, ProgressFunc: d.counter.Progress, OnProgress: d.counter.NoteProgress,
-		TouchFunc: h.touch, LateFunc: func() clock.Millis { return h.currentBounds().UsageDelay },
+		KeepSpan: counter.KeepSpan, TouchFunc: h.touch, LateFunc: func() clock.Millis { return h.currentBounds().UsageDelay },
 	}
 	gauge := func(name, help string, read func(settler.Stats) int) {
 		h.Meter.Gauge(name, help, func() float64 { return float64(read(d.settler.Stats())) })
@@ -169,6 +184,14 @@
 	}
 }
 
+// tellLastCounts tells all neighbours what this instance has counted, before it stops: the watcher of
+// its zone may stop soon after it.
+func (h *Host) tellLastCounts() {
+	if h.duties.counter != nil {
+		h.Gossiper.SendToNeighbours(context.Background())
+	}
+}
+
 // dutyLoops returns what runs for duties.
 func (h *Host) dutyLoops() []func(context.Context) error {
 	var loops []func(context.Context) error
