--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -17,6 +17,7 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/duty/counter"
+	"example.com/dotterelwell/internal/duty/demander"
 	"example.com/dotterelwell/internal/link/connector"
 	"example.com/dotterelwell/internal/link/packer"
 	"example.com/dotterelwell/internal/link/timekeeper"
@@ -87,6 +88,9 @@
 	OnMessage func(Message)
 	// UsageFunc, if set, returns the counts of requests for a peer. asked is set for an answer.
 	UsageFunc func(peer Peer, asked bool) counter.Report
+	// DemandFunc, if set, returns the demand for servers that a message to a peer carries, as Demand and
+	// ZoneDemands. asked is set for an answer.
+	DemandFunc func(peer Peer, asked bool) (own *demander.Report, zones map[declaration.ZoneName]demander.Report)
 	// Timekeeper, if set, learns the clocks of peers.
 	Timekeeper *timekeeper.Timekeeper
 	// HolderFunc, if set, returns the instance that counts of requests are meant for. In a small
@@ -175,6 +179,9 @@
 	if g.UsageFunc != nil {
 		message.Usage = g.UsageFunc(p, false)
 	}
+	if g.DemandFunc != nil {
+		message.Demand, message.ZoneDemands = g.DemandFunc(p, false)
+	}
 	var reply Message
 	began := g.Clock.Now()
 	err := g.call(ctx, p, "Exchange", message, &reply)
