Clients that nobody controls: bounds before heads are parsed, on connections, and on accept errors

Cause: net/http parsed heads of up to 64 KiB whatever the configuration allows, and a parsed line takes some hundred bytes whatever its text; heads were copied once more for each request; max_fds, max_header_bytes (before the parser) and header_timeout_ms bounded nothing; an error of accept on the peers' port ended the process; gob allocated what a peer announced. Change: gatekeeper scans heads on each port, charges what they cost to a budget of an eighth of the memory and bounds connections; accepter waits out errors of accept that pass; messages of peers are refused by their announced length. A legal head of very many short lines is no longer taken for one over the limit (431).

--- a/internal/link/connector/codec.go
+++ b/internal/link/connector/codec.go
@@ -36,15 +36,18 @@
 	conn    io.ReadWriteCloser
 	limited *boundedReader
 	in      *bufio.Reader
+	frames  *frameReader
 	dec     *gob.Decoder
 	enc     *gob.Encoder
 	out     *bufio.Writer
 }
 
-func newCodec(conn io.ReadWriteCloser) *codec {
+// newCodec returns the codec of a connection whose received messages take from the message memory of c.
+func newCodec(conn io.ReadWriteCloser, c *Connector) *codec {
 	limited := &boundedReader{r: conn, left: MaxMessageBytes}
 	in, out := bufio.NewReader(limited), bufio.NewWriter(conn)
-	return &codec{conn: conn, limited: limited, in: in, dec: gob.NewDecoder(in), enc: gob.NewEncoder(out), out: out}
+	frames := &frameReader{in: in, connector: c}
+	return &codec{conn: conn, limited: limited, in: in, frames: frames, dec: gob.NewDecoder(frames), enc: gob.NewEncoder(out), out: out}
 }
 
 func (c *codec) readHead(head any) error {
@@ -64,12 +67,13 @@
 	return c.out.Flush()
 }
 
-func (c *codec) Close() error { return c.conn.Close() }
+func (c *codec) Close() error {
+	c.frames.close()
+	return c.conn.Close()
+}
 
 type serverCodec struct{ *codec }
 
-func newServerCodec(conn io.ReadWriteCloser) serverCodec { return serverCodec{newCodec(conn)} }
-
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHead(r) }
 
 func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
@@ -78,8 +82,6 @@
 
 type clientCodec struct{ *codec }
 
-func newClientCodec(conn io.ReadWriteCloser) rpc.ClientCodec { return clientCodec{newCodec(conn)} }
-
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
 
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHead(r) }
--- a/internal/link/connector/connector.go
+++ b/internal/link/connector/connector.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"example.com/dotterelwell/internal/link/accepter"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -55,9 +56,16 @@
 	// StreamFuncs serve the accepted connections whose first call is a method that opens a stream. The
 	// connection is closed when the function returns.
 	StreamFuncs map[string]func(*Stream)
+	// OnFirstCall, when set, is called with an accepted connection once the header of its first call has been read.
+	OnFirstCall func(net.Conn)
+	// MessageMemory bounds what received messages beyond freeMessageBytes each may take together, in bytes; zero
+	// sets no bound.
+	MessageMemory int64
 	// Traffic counts the bytes of all connections.
 	Traffic Traffic
 
+	messageMemory atomic.Int64
+
 	mu       sync.Mutex
 	clients  map[ident.Address]*rpc.Client
 	accepted map[net.Conn]struct{}
@@ -101,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := rpc.NewClientWithCodec(newClientCodec(conn))
+	client := rpc.NewClientWithCodec(clientCodec{newCodec(conn, c)})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if existing := c.clients[address]; existing != nil || c.closed {
@@ -151,6 +159,7 @@
 // Serve accepts connections on listener and lets server answer the calls on them, until
 // the listener or the connector is closed.
 func (c *Connector) Serve(listener net.Listener, server *rpc.Server) error {
+	listener = &accepter.Accepter{Listener: listener, Port: "peers"}
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
@@ -197,7 +206,7 @@
 	if err := authenticate(conn, c.Key, roleServer); err != nil {
 		return
 	}
-	c.serveCalls(conn, server)
+	c.serveCalls(raw, conn, server)
 }
 
 // Close closes all connections and waits until those that were accepted are no longer
--- a/internal/link/connector/stream.go
+++ b/internal/link/connector/stream.go
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks the call
-	s := &Stream{Conn: conn, codec: newCodec(conn)}
+	s := &Stream{Conn: conn, codec: newCodec(conn, c)}
 	s.in = s.codec.in
 	err = s.call(method, args, reply)
 	if !stop() && err == nil {
@@ -76,12 +76,16 @@
 
 // serveCalls answers the calls on an accepted connection, or passes it on if its first call opens a
 // stream.
-func (c *Connector) serveCalls(conn net.Conn, server *rpc.Server) {
-	codec := newServerCodec(conn)
+func (c *Connector) serveCalls(raw, conn net.Conn, server *rpc.Server) {
+	codec := serverCodec{newCodec(conn, c)}
+	defer codec.frames.close()
 	first := rpc.Request{}
 	if err := codec.ReadRequestHeader(&first); err != nil {
 		return
 	}
+	if c.OnFirstCall != nil {
+		c.OnFirstCall(raw)
+	}
 	if serve := c.StreamFuncs[first.ServiceMethod]; serve != nil {
 		serve(&Stream{Conn: conn, in: codec.in, codec: codec.codec, request: first})
 		return
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -102,6 +102,7 @@
 
 	outside    Outside
 	bufferer   *bufferer.Bufferer
+	gates      gates
 	informers  map[storer.ObjectKind]*informer.Informer
 	tallier    *tallier.Tallier
 	accountant *accountant.Accountant
@@ -152,6 +153,7 @@
 	h.wireCrashes()
 	h.wireLinks()
 	h.wireRequests()
+	h.wireGates()
 	return h, func() {
 		h.Transporter.Close()
 		h.Connector.Close()
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 	"k8s.io/klog/v2"
 
+	"example.com/dotterelwell/internal/link/gatekeeper"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/profile"
 	"example.com/dotterelwell/platform"
@@ -29,9 +30,10 @@
 	// cutPart is the part of the grace period at which streams that still run are cut, for
 	// their callers to resume them at another instance.
 	cutPart = 0.94
-	// headerTimeout bounds the wait for a caller's request header.
+	// headerTimeout bounds the wait for a request's first byte on a new connection, and for its header
+	// while no configuration is known.
 	headerTimeout = 15 * clock.Second
-	// maxHeaderBytes bounds a request's header before any configuration is known.
+	// maxHeaderBytes bounds what net/http reads of a header; gatekeepers apply the limits in force.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -56,24 +58,29 @@
 	loop := func(f func(context.Context) error) {
 		group.Add(func() error { return f(background) }, func(error) { stopBackground() })
 	}
-	serve := func(l net.Listener, handler http.Handler, track func(net.Conn, http.ConnState)) {
+	serve := func(l net.Listener, gate *gatekeeper.Gatekeeper, handler http.Handler) {
 		server := &http.Server{
-			ConnState: track,
-			Handler:   handler, ReadHeaderTimeout: headerTimeout.Duration(), MaxHeaderBytes: maxHeaderBytes,
+			ConnState: func(c net.Conn, state http.ConnState) {
+				gate.Track(c, state)
+				if gate == h.gates.callers {
+					h.Sweeper.Track(c, state)
+				}
+			},
+			Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), MaxHeaderBytes: maxHeaderBytes,
 			BaseContext: func(net.Listener) context.Context { return requests },
 		}
-		group.Add(func() error { return serveHTTP(server, l) }, func(error) { _ = server.Close() })
+		group.Add(func() error { return serveHTTP(server, gate.Listen(l)) }, func(error) { _ = server.Close() })
 	}
-	serve(callers, h.counted(&platform.Ingress{
+	serve(callers, h.gates.callers, h.counted(&platform.Ingress{
 		Clock: h.Clock, Bufferer: h.bufferer, ServeFunc: h.Runner.Serve, LimitsFunc: h.limits, ClosingFunc: h.draining.Load,
-	}), h.Sweeper.Track)
-	serve(readiness, platform.ReadyHandler(h.ready), nil)
+	}))
+	serve(readiness, h.gates.ready, platform.ReadyHandler(h.ready))
 	if metrics, err := h.outside.ListenFunc(h.Profile.MetricsAddress()); err == nil {
-		serve(metrics, h.operatorMux(), nil)
+		serve(metrics, h.gates.operators, h.operatorMux())
 	} else {
 		klog.ErrorS(err, "Metrics are not served; requests are", "address", h.Profile.MetricsAddress())
 	}
-	group.Add(func() error { return h.Gossiper.Serve(peers) }, func(error) {
+	group.Add(func() error { return h.Gossiper.Serve(h.gates.peers.Listen(peers)) }, func(error) {
 		_ = peers.Close() // it may be closed already
 		h.Connector.Close()
 	})
--- a/internal/machine/meter/meter.go
+++ b/internal/machine/meter/meter.go
@@ -42,6 +42,9 @@
 	Pauses prometheus.Counter
 	// Overruns counts answers of backend servers that exceeded a bound, by the bound.
 	Overruns *prometheus.CounterVec
+	// ClientBounds counts connections that were closed, or refused, for a bound on what clients may take, by
+	// port and bound.
+	ClientBounds *prometheus.CounterVec
 	// LimitedSends counts requests to backend servers that named a rate limit, by service.
 	LimitedSends *prometheus.CounterVec
 	// VersionsBad counts versions that this instance found bad.
@@ -64,6 +67,7 @@
 	m.Dispatches = m.vector("dispatches_total", "Starts at backend servers by version or service.", "target")
 	m.Claims = m.vector("claims_total", "Decided claims by result.", "result")
 	m.Overruns = m.vector("answer_overruns_total", "Answers of backend servers that exceeded a bound, by the bound.", "bound")
+	m.ClientBounds = m.vector("client_bounds_total", "Connections that were closed or refused for a bound on what clients may take, by port and bound.", "port", "bound")
 	m.LimitedSends = m.vector("limited_sends_total", "Requests to backend servers that named a rate limit, by service.", "service")
 	m.Resumes = m.counter("stream_resumes_total", "Streams that were resumed.")
 	m.DroppedFrames = m.counter("dropped_frames_total", "Frames that belonged to another request.")
