--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -102,6 +102,7 @@
 
 	outside    Outside
 	bufferer   *bufferer.Bufferer
+	gates      gates
 	informers  map[storer.ObjectKind]*informer.Informer
 	tallier    *tallier.Tallier
 	accountant *accountant.Accountant
@@ -159,6 +160,7 @@
 	h.wireLinks()
 	h.wireRequests()
 	h.wireDuties()
+	h.wireGates()
 	return h, func() {
 		h.Transporter.Close()
 		h.Connector.Close()
