--- a/internal/duty/counter/counter_test.go
+++ b/internal/duty/counter/counter_test.go
@@ -134,7 +134,7 @@
 func TestMessageSize(t *testing.T) {
 	f := &fleet{now: 1000 * length}
 	c := f.counter("front-hu-central-a-1.mhtn3a.0a1b2c", "hu-central-a")
-	for range 4 {
+	for range 12 {
 		for w := range 24 {
 			for range 400 {
 				c.Count(declaration.WorkspaceName(fmt.Sprintf("name%d", 1000+w)))
