--- a/internal/duty/autoscaler/autoscaler.go
+++ b/internal/duty/autoscaler/autoscaler.go
@@ -183,7 +183,7 @@
 		a.loggedAt[state.Service.Name] = state.Now
 		d := state.Demand
 		klog.InfoS("Demand for servers", "service", state.Service.Name, "work-ms-per-s", int(d.Work), "requests-per-s", d.Requests, "backlog-ms", int(d.Backlog), "busy-slots", d.Busy,
-			"whole", d.Whole, "rollout-open", state.RolloutOpen, "zones", state.Zones, "expected-work", expected, "term", a.term)
+			"whole", d.Whole, "rollout-open", state.RolloutOpen, "mixed-releases", state.Mixed, "zones", state.Zones, "expected-work", expected, "term", a.term)
 	}
 	if a.OnState == nil {
 		return
@@ -202,7 +202,7 @@
 func (a *Autoscaler) holdBack(state scaler.State) {
 	for zone, servers := range state.Zones {
 		o := a.orders[Subject{state.Service.Name, zone}]
-		if o == nil || !state.RolloutOpen || o.Servers >= servers.Present+servers.OtherSide {
+		if o == nil || !state.RolloutOpen && !state.Mixed || o.Servers >= servers.Present+servers.OtherSide {
 			continue
 		}
 		o.dueAt, o.backoff = 0, 0
--- a/internal/duty/scaler/scaler.go
+++ b/internal/duty/scaler/scaler.go
@@ -95,6 +95,8 @@
 	Target clock.Millis
 	// RolloutOpen is set while servers of two releases exist by order of the operators.
 	RolloutOpen bool
+	// Mixed is set while servers of two releases are present, also before and after a roll-out.
+	Mixed bool
 	// Unsettled is set while an order for the service is unanswered or may take effect late.
 	Unsettled bool
 	Demand    Demand
@@ -225,7 +227,7 @@
 	if s.zones == nil {
 		s.zones = map[declaration.ZoneName]*zone{}
 	}
-	steady := state.Demand.Whole && !state.RolloutOpen
+	steady := state.Demand.Whole && !state.RolloutOpen && !state.Mixed
 	for name, servers := range state.Zones {
 		held := s.zones[name]
 		if held == nil {
@@ -336,7 +338,7 @@
 	for _, name := range zones {
 		servers, held := state.Zones[name], s.zones[name]
 		standing := held.standing()
-		if state.RolloutOpen {
+		if state.RolloutOpen || state.Mixed {
 			standing = max(standing, servers.Present+servers.OtherSide)
 		}
 		have := servers.Ready + servers.Cold + held.coming(state, servers.Present)
--- a/internal/duty/scaler/scaler_test.go
+++ b/internal/duty/scaler/scaler_test.go
@@ -387,3 +387,19 @@
 		}
 	}
 }
+
+// TestLateEntryOfOldRelease has the entry of a server of the release before appear once more after a
+// roll-out. What was ordered meanwhile still comes, and is not ordered again.
+func TestLateEntryOfOldRelease(t *testing.T) {
+	f := newFleet(30, func(clock.Millis) float64 { return 80 })
+	f.rollOut(20 * clock.Second)
+	rollOut := f.change
+	f.change = func(state *scaler.State) {
+		rollOut(state)
+		state.Mixed = state.Now > 26*clock.Second && state.Now < 27*clock.Second
+	}
+	f.play(40*clock.Second, nil)
+	if len(f.orders) != 3 {
+		t.Errorf("orders %v, want one for each zone", f.orders)
+	}
+}
--- a/internal/machine/host/scaling.go
+++ b/internal/machine/host/scaling.go
@@ -116,7 +116,7 @@
 		}
 		for zone, c := range h.Roster.Census(name) {
 			state.Zones[zone] = scaler.Servers{Present: c.Present, OtherSide: c.OtherSide, Ready: c.Ready, Cold: c.Cold, Evacuated: view.EvacuatedZones[zone]}
-			state.RolloutOpen = state.RolloutOpen || c.Mixed // the order for a roll-out may come after its servers
+			state.Mixed = state.Mixed || c.Mixed
 			state.Demand.Busy += c.Busy
 			state.Demand.Backlog += float64(c.Backlog)
 		}
