--- a/internal/link/gossiper/builds_test.go
+++ b/internal/link/gossiper/builds_test.go
@@ -8,8 +8,10 @@
 	"strings"
 	"testing"
 
+	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/duty/demander"
 	"example.com/dotterelwell/internal/link/gossiper"
 	"example.com/dotterelwell/internal/link/tunneler"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -50,9 +52,11 @@
 	}
 	sent := gossiper.Message{
 		From: "front-a", Copies: map[storer.ObjectKind]gossiper.CopyStatus{"config": {Position: 7}}, Loads: accountant.Loads{"i-1": roster.Load{Requests: 3}},
-		Departing: []backend.Incarnation{{ID: "i-2", Born: 1000}},
-		Tunnels:   tunneler.Report{Carries: true, Carried: 3, CutOff: true, Carriers: []ident.Instance{"front-b"}},
-		Pauses:    []roster.PauseReport{{Server: backend.Incarnation{ID: "i-2"}, Left: 300}},
+		Departing:   []backend.Incarnation{{ID: "i-2", Born: 1000}},
+		Tunnels:     tunneler.Report{Carries: true, Carried: 3, CutOff: true, Carriers: []ident.Instance{"front-b"}},
+		Pauses:      []roster.PauseReport{{Server: backend.Incarnation{ID: "i-2"}, Left: 300}},
+		Demand:      &demander.Report{Instances: 1, Services: map[declaration.ServiceName]demander.Demand{"llm": {Requests: 3, Work: 400}}},
+		ZoneDemands: map[declaration.ZoneName]demander.Report{"a": {Instances: 2, Age: 300}},
 	}
 	var raw bytes.Buffer
 	if err := gob.NewEncoder(&raw).Encode(sent); err != nil {
