--- a/internal/link/gatekeeper/gatekeeper.go
+++ b/internal/link/gatekeeper/gatekeeper.go
@@ -42,6 +42,8 @@
 	// lineBytes is about what a header line takes besides its text: its entries in the header as
 	// parsed, in that of the request to a server, and in the order in which lines are sent.
 	lineBytes = 400
+	// shortestLine is the length of the shortest header line, in bytes.
+	shortestLine = len("a:\n")
 	// byteCopies is how often the text of a head is held: as read, as parsed, as sent.
 	byteCopies = 3
 	// pipelinedBytes is how much of a next request net/http may have read with a body.
@@ -62,7 +64,8 @@
 	Port string
 	// Connections bounds the open connections.
 	Connections int
-	// HeadMemory bounds what all heads cost beyond the allowance of each, in bytes.
+	// HeadMemory bounds what all heads cost beyond the allowance of each, in bytes. It is taken to be enough for
+	// any one head inside the limit.
 	HeadMemory int64
 	// HeadBytesFunc returns the limit of a head in bytes; zero for the default.
 	HeadBytesFunc func() int
@@ -109,6 +112,12 @@
 	return defaultHeadBytes
 }
 
+// budget returns the bound of what all heads cost.
+func (g *Gatekeeper) budget() int64 {
+	limit := g.headLimit()
+	return max(g.HeadMemory, int64(limit/shortestLine*lineBytes+limit*byteCopies))
+}
+
 // HeadMemoryUsed returns what all heads cost now beyond the allowance of each, in bytes.
 func (g *Gatekeeper) HeadMemoryUsed() int64 { return g.headMemory.Load() }
 
@@ -147,7 +156,7 @@
 // makeRoom brings the cost of heads within the budget again, by closing connections whose heads are unfinished, the
 // most costly first. It reports whether c may go on: it may not if its own head is the most costly.
 func (g *Gatekeeper) makeRoom(c *Conn) bool {
-	for g.headMemory.Load() > g.HeadMemory {
+	for g.headMemory.Load() > g.budget() {
 		victim := g.choose(func(a, b *Conn) int {
 			return cmp.Or(cmp.Compare(b.charged.Load(), a.charged.Load()), cmp.Compare(a.since.Load(), b.since.Load()))
 		})
--- a/internal/link/gatekeeper/gatekeeper_test.go
+++ b/internal/link/gatekeeper/gatekeeper_test.go
@@ -158,7 +158,7 @@
 // TestHeadMemory checks that many costly heads are bounded together, that the most costly unfinished one
 // goes first, that ordinary requests pass meanwhile, and that all is given back.
 func TestHeadMemory(t *testing.T) {
-	g := &Gatekeeper{HeadMemory: 1 << 20}
+	g := &Gatekeeper{HeadMemory: 1 << 20, HeadBytesFunc: func() int { return 6000 }}
 	costly := start + strings.Repeat("a:\r\n", 1000)
 	under, unfinished := connect(t, g), connect(t, g)
 	if err := under.send(costly + "\r\n"); err != nil {
@@ -188,6 +188,15 @@
 	}
 }
 
+// TestOneHeadAlwaysFits checks that the most costly head inside the limit is taken in calm, however little memory there is.
+func TestOneHeadAlwaysFits(t *testing.T) {
+	const limit = 16 << 10
+	g := &Gatekeeper{HeadMemory: 1, HeadBytesFunc: func() int { return limit }}
+	if err := connect(t, g).send("GET / HTTP/1.1\n" + strings.Repeat("a:\n", (limit-16)/3) + "\n"); err != nil {
+		t.Errorf("the only head is refused: %v", err)
+	}
+}
+
 // TestRequestsSentAhead checks that a head that was read together with the body before it counts as well: net/http
 // has it in its buffer then, and reads nothing more.
 func TestRequestsSentAhead(t *testing.T) {
--- a/internal/machine/host/gates.go
+++ b/internal/machine/host/gates.go
@@ -12,7 +12,7 @@
 const (
 	// headPart is the part of the process's memory that heads of callers' requests may take beyond an
 	// allowance for each.
-	headPart = 1.0 / 8
+	headPart = 1.0 / 16
 	// connectionPart is the part of the memory that callers' connections may take, and as much those of peers.
 	connectionPart = 1.0 / 4
 	// messagePart is the part of the memory that messages of peers may take while they are received.
