--- a/internal/link/gossiper/builds_test.go
+++ b/internal/link/gossiper/builds_test.go
@@ -55,7 +55,6 @@
 		Pauses:    []roster.PauseReport{{Server: backend.Incarnation{ID: "i-2"}, Left: 300}},
 		Parts:     []byte{1, 2, 3},
 	}
-	sent.Loads["i-3"] = roster.Load{Pace: 50, Paces: 2}
 	var raw bytes.Buffer
 	if err := gob.NewEncoder(&raw).Encode(sent); err != nil {
 		t.Fatal(err)
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -166,8 +166,8 @@
 		alive++
 		if part != 0 {
 			r.homes.Offer(w, affinityHash.ScoreHashes(uint64(part), w.idHash))
-			totalWait += w.estimatedWait(now)
 		}
+		totalWait += w.estimatedWait(now)
 		switch {
 		case slices.Contains(want.Exclude, w.info.ID):
 		case w.paused(now):
--- a/internal/machine/roster/parts.go
+++ b/internal/machine/roster/parts.go
@@ -61,8 +61,8 @@
 	}
 	r.located = r.locator.Append(r.located[:0], part, now)
 	for _, p := range r.located {
-		if w := r.holders[p.Holder]; w != nil && w.locatedIn != r.decision {
-			w.locatedIn, w.partReadyAt = r.decision, p.ReadyAt
+		if w := r.holders[p.Holder]; w != nil {
+			w.locatedIn = r.decision
 		}
 	}
 	for _, w := range r.homes.Servers() {
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -17,7 +17,6 @@
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/contract/storer"
-	"example.com/dotterelwell/internal/load/gauger"
 	"example.com/dotterelwell/internal/load/locator"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
@@ -112,8 +111,6 @@
 	decision uint64
 	// meanWait is the mean estimated wait, in milliseconds, at the servers in service of the current choice.
 	meanWait float64
-	// means holds the mean pace of each model.
-	means map[string]*gauger.Mean
 	// scratch holds the candidates of the current choice; it is reused to avoid allocations.
 	scratch []*row
 	// leftOut tells why gather left out servers.
@@ -342,6 +339,20 @@
 	return others
 }
 
+// Loads returns the load that this instance puts on each server where it has requests in
+// flight.
+func (r *Roster) Loads() map[ident.Server]Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads := map[ident.Server]Load{}
+	for id, w := range r.rows {
+		if w.inFlight > 0 {
+			loads[id] = Load{Requests: w.inFlight, Pending: clock.Millis(w.pending)}
+		}
+	}
+	return loads
+}
+
 // SetPeerLoads sets the load that all other instances reported for each server; age is how
 // old the report is.
 func (r *Roster) SetPeerLoads(loads map[ident.Server]Load, age clock.Millis) {
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"example.com/dotterelwell/internal/contract/backend"
-	"example.com/dotterelwell/internal/load/gauger"
 	"example.com/dotterelwell/internal/load/locator"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/zone/rationer"
@@ -48,15 +47,12 @@
 	// peers is the load that other instances last reported for the server, as of peersAt.
 	peers   Load
 	peersAt clock.Millis
-	// locatedIn is the last decision whose shared prompt part the server was sent before, and partReadyAt from
-	// when on it is expected to keep that part. homeIn is the last decision of whose part it is a home.
+	// locatedIn is the last decision whose shared prompt part the server was sent before, and homeIn the last one of whose
+	// part it is a home.
 	locatedIn, homeIn uint64
-	partReadyAt       clock.Millis
-	// paces holds this instance's samples of the server's speed.
-	paces        gauger.Samples
-	backoffUntil clock.Millis
-	backoff      clock.Millis
-	fullUntil    clock.Millis
+	backoffUntil      clock.Millis
+	backoff           clock.Millis
+	fullUntil         clock.Millis
 	// failures is the moving share of failed requests as of failedAt.
 	failures float64
 	failedAt clock.Millis
@@ -163,23 +159,6 @@
 	// Pending is the estimated server time of those requests to which the server has not begun
 	// to answer.
 	Pending clock.Millis
-	// Paces is the number of samples of the server's speed, and Pace the sum of their deviations from the mean of its service
-	// in hundredths. Builds without them leave them zero.
-	Pace, Paces int
-}
-
-// paceScale is how many units of Load.Pace a deviation of 1 has.
-const paceScale = 100
-
-// slowness returns how many times as long as the average server of its service the server takes, by the samples of
-// all instances.
-func (w *row) slowness(now clock.Millis) float64 {
-	sum, count := w.paces.At(now)
-	if w.peers.Paces > 0 {
-		sum += float64(w.peers.Pace) / paceScale
-		count += float64(w.peers.Paces)
-	}
-	return gauger.Slowness(sum, count)
 }
 
 // estimatedWait estimates, in milliseconds, how long the server works on earlier prompts
--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -332,7 +332,6 @@
 			t.OnInterEventLatency(t.attempt(), (now-t.sampleStart)/clock.Millis(gaps))
 		}
 	}
-	t.slot.RecordPace(t.requestedModel(), (now-t.sampleStart)/clock.Millis(gaps))
 	t.Predictor.ObserveEvents(t.requestedModel(), gaps, now-t.sampleStart)
 	t.sampleStart = now
 }
--- a/internal/zone/accountant/accountant.go
+++ b/internal/zone/accountant/accountant.go
@@ -28,8 +28,6 @@
 		sum := l[server]
 		sum.Requests += load.Requests
 		sum.Pending += load.Pending
-		sum.Pace += load.Pace
-		sum.Paces += load.Paces
 		l[server] = sum
 	}
 }
@@ -39,11 +37,6 @@
 		rest := l[server]
 		rest.Requests = max(rest.Requests-load.Requests, 0)
 		rest.Pending = max(rest.Pending-load.Pending, 0)
-		if rest.Paces -= load.Paces; rest.Paces <= 0 {
-			rest.Paces, rest.Pace = 0, 0
-		} else {
-			rest.Pace -= load.Pace
-		}
 		if rest == (roster.Load{}) {
 			delete(l, server)
 			continue
