The fleet bounds what is outstanding at brittle servers

While a server of a service says it, the instances share a bound on the requests outstanding at each server, divided into permits (internal/zone/apportioner). A rejection halves the bound, all instances hear of it at once, and the server is left alone for a second.

--- a/internal/contract/backend/backend.go
+++ b/internal/contract/backend/backend.go
@@ -46,6 +46,20 @@
 	PerSecond float64
 }
 
+// Brittleness is what a server says that falls over if it rejects too many requests. Its zero value is a server
+// that doesn't.
+type Brittleness struct {
+	// Named is set if the server says that it is brittle.
+	Named bool
+	// RejectionsPerSecond is the largest number of rejections in a second that the server bears, which may be 0.
+	RejectionsPerSecond int
+}
+
+// StricterThan reports whether a server bears less than one that says other.
+func (b Brittleness) StricterThan(other Brittleness) bool {
+	return b.Named && (!other.Named || b.RejectionsPerSecond < other.RejectionsPerSecond)
+}
+
 // Incarnation identifies one run of a server's process. A server that restarts at the
 // same address is another incarnation, even if it keeps its identifier.
 type Incarnation struct {
--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -130,6 +130,8 @@
 	Leaving bool
 	// RateLimit is the limit that the server names for the requests of all instances together.
 	RateLimit backend.RateLimit
+	// Brittleness is what the server says of how many rejections it bears.
+	Brittleness backend.Brittleness
 }
 
 // BelongsTo reports whether the answer belongs to the request id. An answer without a
--- a/internal/link/gossiper/message.go
+++ b/internal/link/gossiper/message.go
@@ -58,6 +58,8 @@
 	Departing []backend.Incarnation
 	// Limits holds what the sender knows of the rate limits that servers name.
 	Limits []roster.LimitReport
+	// Brittle holds what the sender knows of brittle servers.
+	Brittle []roster.BrittleReport
 	// Tunnels tells whether the sender carries connections to servers for its peers. Builds without
 	// tunnels leave it zero.
 	Tunnels tunneler.Report
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -207,7 +207,7 @@
 		stages[service] = s
 	}
 	return gossiper.Message{
-		Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing(), Limits: h.Roster.LimitReports(),
+		Loads: h.Roster.Loads(), Stages: stages, Departing: h.Roster.Departing(), Limits: h.Roster.LimitReports(), Brittle: h.Roster.BrittleReports(),
 		Tunnels: h.tunnelReport(), Pauses: h.Roster.PauseReports(),
 		Crashes: h.Observer.Reports(), Inquiry: h.inquiry(), Cleared: h.Observer.Cleared(), Quarantine: h.Quarantiner.Entries(),
 	}
@@ -224,6 +224,7 @@
 	}
 	h.Roster.MergeDeparting(n.Departing)
 	h.Roster.MergeLimits(n.Limits)
+	h.Roster.MergeBrittle(n.Brittle)
 	h.Roster.MergePauses(n.Pauses)
 	h.Selector.Merge(n.From, n.Tunnels)
 	h.Stager.Merge(n.Stages)
--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -152,7 +152,14 @@
 		ViewFunc: h.Curator.View, DecodeFunc: platform.DecodeServer, OutageEndedAtFunc: servers.OutageEndedAt,
 		InstancesFunc: h.Enlister.Names, CountedFunc: h.Enlister.Counted, ColdRateFunc: h.coldRate,
 		OnLimitedSend: func(service declaration.ServiceName) { h.Meter.LimitedSends.WithLabelValues(string(service)).Inc() },
-		OnFreed:       func() { h.Runner.WakeWaiters() },
+		OnBrittle:     func() { go h.Gossiper.SendToAll(context.Background()) }, // the table's lock is held
+		OnBrittleRejection: func(service declaration.ServiceName, lowered bool) {
+			h.Meter.BrittleRejections.WithLabelValues(string(service)).Inc()
+			if lowered {
+				go h.Gossiper.SendToAll(context.Background())
+			}
+		},
+		OnFreed: func() { h.Runner.WakeWaiters() },
 	}
 	h.Stager = &stager.Stager{
 		Clock: h.Clock, ViewFunc: h.Curator.View, Tallier: h.tallier,
--- a/internal/machine/meter/meter.go
+++ b/internal/machine/meter/meter.go
@@ -44,6 +44,8 @@
 	Overruns *prometheus.CounterVec
 	// LimitedSends counts requests to backend servers that named a rate limit, by service.
 	LimitedSends *prometheus.CounterVec
+	// BrittleRejections counts requests that brittle backend servers rejected, by service.
+	BrittleRejections *prometheus.CounterVec
 	// VersionsBad counts versions that this instance found bad.
 	VersionsBad prometheus.Counter
 
@@ -64,6 +66,7 @@
 	m.Dispatches = m.vector("dispatches_total", "Starts at backend servers by version or service.", "target")
 	m.Claims = m.vector("claims_total", "Decided claims by result.", "result")
 	m.Overruns = m.vector("answer_overruns_total", "Answers of backend servers that exceeded a bound, by the bound.", "bound")
+	m.BrittleRejections = m.vector("brittle_rejections_total", "Requests that brittle backend servers rejected, by service.", "service")
 	m.LimitedSends = m.vector("limited_sends_total", "Requests to backend servers that named a rate limit, by service.", "service")
 	m.Resumes = m.counter("stream_resumes_total", "Streams that were resumed.")
 	m.DroppedFrames = m.counter("dropped_frames_total", "Frames that belonged to another request.")
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -142,6 +142,7 @@
 	alive := 0
 	r.leftOut = leftOut{}
 	fleet := r.fleet()
+	factor := g.updateBrittle(now)
 	for _, w := range g.rows {
 		if w.leaving() || w.expiresAt > 0 && w.unreachable || !onSide(w, side, order) {
 			continue
@@ -159,6 +160,8 @@
 			r.leftOut.addPaused(w)
 		case !r.withinColdLimit(w, now):
 			r.leftOut.otherwise = true
+		case !r.withinBrittleBound(w, factor, fleet, now):
+			r.leftOut.otherwise = true
 		default:
 			if allowance := w.allowance(fleet, now); allowance.NextAt > now || allowance.Held == 0 {
 				r.leftOut.addLimited(w, allowance)
--- a/internal/machine/roster/advice.go
+++ b/internal/machine/roster/advice.go
@@ -22,6 +22,10 @@
 	ThroughPeer bool
 	// RateLimit is the limit that the server names for the requests of all instances together.
 	RateLimit backend.RateLimit
+	// Brittleness is what the server says of how many rejections it bears.
+	Brittleness backend.Brittleness
+	// Rejected is set when the server states that it has not run the request.
+	Rejected bool
 	// Served is set when the server has served the request, so that an answer without a rate
 	// limit shows that the server has none.
 	Served bool
@@ -50,6 +54,7 @@
 	if status.Served || status.RateLimit.Named {
 		s.row.observeLimit(status.RateLimit, s.acquiredAt, now)
 	}
+	r.observeBrittleness(s, status, now)
 	if status.RetryAfter > 0 {
 		jitter := r.randIntN(int(retryJitter*float64(status.RetryAfter)) + 1)
 		s.row.pausedUntil = max(s.row.pausedUntil, now+status.RetryAfter+clock.Millis(jitter))
--- a/internal/machine/roster/roster.go
+++ b/internal/machine/roster/roster.go
@@ -87,6 +87,12 @@
 	// OnLimitedSend, when set, is called with the table's lock held when a request is to be sent
 	// to a server that names a rate limit.
 	OnLimitedSend func(service declaration.ServiceName)
+	// OnBrittle, when set, is called with the table's lock held when the first server of a service has said that it is
+	// brittle.
+	OnBrittle func()
+	// OnBrittleRejection, when set, is called with the table's lock held when a brittle server has rejected a request;
+	// lowered is set if less may be outstanding there from now on.
+	OnBrittleRejection func(service declaration.ServiceName, lowered bool)
 	// OnFreed, when set, is called without the lock when a server may have become usable.
 	OnFreed func()
 
@@ -108,6 +114,9 @@
 	leftOut leftOut
 	// reachable is what SetReachable set.
 	reachable rationer.Fleet
+	// startedAt is when the first server entries came, and heardPeer is set from the first message of a peer on.
+	startedAt clock.Millis
+	heardPeer bool
 }
 
 // group holds the servers of one service.
@@ -119,6 +128,8 @@
 	lastWantedAt clock.Millis
 	// waiting is the number of requests that wait for a server's pause or rate limit.
 	waiting int
+	// brittleAt is when a server of the service was last known to be brittle; zero for never.
+	brittleAt clock.Millis
 	// unreachable is the number of servers that this instance had failed to connect to, as last logged.
 	unreachable int
 }
@@ -129,6 +140,7 @@
 	r.mu.Lock()
 	if r.rows == nil {
 		r.rows = map[ident.Server]*row{}
+		r.startedAt = now
 		r.services = map[declaration.ServiceName]*group{}
 	}
 	first := len(r.rows) == 0
@@ -255,6 +267,7 @@
 		}
 	}
 	r.passOnPermits(now)
+	r.keepBrittlePermits(now)
 	for service, g := range r.services {
 		g.logReach(service)
 	}
--- a/internal/machine/roster/row.go
+++ b/internal/machine/roster/row.go
@@ -6,6 +6,7 @@
 
 	"example.com/dotterelwell/internal/contract/backend"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/zone/apportioner"
 	"example.com/dotterelwell/internal/zone/rationer"
 )
 
@@ -83,6 +84,9 @@
 	permitsHeld      int
 	limitedSince     clock.Millis
 	sentWhileLimited int
+	// apportioner holds this instance's part of what may be outstanding at the server while its service is brittle; nil
+	// if it never was.
+	apportioner *apportioner.Apportioner
 }
 
 // leaving reports whether the server takes no new work.
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -197,7 +197,7 @@
 	if !h.BelongsTo(id) || h.Misdirected {
 		return roster.ServerStatus{}
 	}
-	return roster.ServerStatus{Accepted: !h.NotRun, Leaving: h.Leaving, RetryAfter: h.RetryAfter, RateLimit: h.RateLimit, Served: h.Authentic && h.OK() && !h.NotRun}
+	return roster.ServerStatus{Accepted: !h.NotRun, Leaving: h.Leaving, RetryAfter: h.RetryAfter, RateLimit: h.RateLimit, Brittleness: h.Brittleness, Rejected: h.NotRun, Served: h.Authentic && h.OK() && !h.NotRun}
 }
 
 // resultByVerdict maps each verdict to the result that is reported to the roster.
