--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -155,7 +155,14 @@
 			h.Meter.SharedParts.WithLabelValues(string(service), string(use)).Inc()
 		},
 		OnLimitedSend: func(service declaration.ServiceName) { h.Meter.LimitedSends.WithLabelValues(string(service)).Inc() },
-		OnFreed:       func() { h.Runner.WakeWaiters() },
+		OnBrittle:     func() { go h.Gossiper.SendToAll(context.Background()) }, // the table's lock is held
+		OnBrittleRejection: func(service declaration.ServiceName, lowered bool) {
+			h.Meter.BrittleRejections.WithLabelValues(string(service)).Inc()
+			if lowered {
+				go h.Gossiper.SendToAll(context.Background())
+			}
+		},
+		OnFreed: func() { h.Runner.WakeWaiters() },
 	}
 	h.Stager = &stager.Stager{
 		Clock: h.Clock, ViewFunc: h.Curator.View, Tallier: h.tallier,
--- a/internal/machine/meter/meter.go
+++ b/internal/machine/meter/meter.go
@@ -54,6 +54,8 @@
 	ServersPresent, ServersDesired *prometheus.GaugeVec
 	// ServerOrders counts orders of backend servers by service, zone and result.
 	ServerOrders *prometheus.CounterVec
+	// BrittleRejections counts requests that brittle backend servers rejected, by service.
+	BrittleRejections *prometheus.CounterVec
 	// VersionsBad counts versions that this instance found bad.
 	VersionsBad prometheus.Counter
 
@@ -75,6 +77,7 @@
 	m.Claims = m.vector("claims_total", "Decided claims by result.", "result")
 	m.Overruns = m.vector("answer_overruns_total", "Answers of backend servers that exceeded a bound, by the bound.", "bound")
 	m.ClientBounds = m.vector("client_bounds_total", "Connections that were closed or refused for a bound on what clients may take, by port and bound.", "port", "bound")
+	m.BrittleRejections = m.vector("brittle_rejections_total", "Requests that brittle backend servers rejected, by service.", "service")
 	m.LimitedSends = m.vector("limited_sends_total", "Requests to backend servers that named a rate limit, by service.", "service")
 	m.SharedParts = m.vector("shared_parts_total", "Requests with a shared prompt part, by service and what their server is expected to do about it: it was sent the part before, is its home, copies it, or reads it.", "service", "use")
 	m.ServersPresent = m.gauges("servers_present", "Backend servers that are present, at the instance that orders them.", "service", "zone")
