--- a/internal/request/predictor/predictor_test.go
+++ b/internal/request/predictor/predictor_test.go
@@ -37,3 +37,21 @@
 		t.Errorf("100 events take %d ms, want about 4000", got)
 	}
 }
+
+// TestPaceBesideFixedTime checks that the time that every request takes is not taken for a time per token, nor the
+// waits of a jump. Load: long and short prompts, first in calm, then while three of four requests wait up to 2 s.
+func TestPaceBesideFixedTime(t *testing.T) {
+	for _, wait := range []int{0, 2000} {
+		var s predictor.Predictor
+		const pace, fixed = 0.005, 85.0 // milliseconds per token and per request
+		for i := range 400 {
+			tokens := 1000 + i*7919%20000
+			work := s.PrefillTime("small", tokens)
+			took := fixed + pace*float64(tokens) + float64(i%4*wait/3)
+			s.ObservePrefill("small", work, clock.Millis(took))
+		}
+		if got := s.PrefillTime("small", 20000); math.Abs(got-100) > 40 {
+			t.Errorf("with waits up to %d ms, 20,000 tokens take %.0f ms, want about 100", wait, got)
+		}
+	}
+}
