--- a/internal/machine/meter/meter.go
+++ b/internal/machine/meter/meter.go
@@ -45,6 +45,9 @@
 	// ClientBounds counts connections that were closed, or refused, for a bound on what clients may take, by
 	// port and bound.
 	ClientBounds *prometheus.CounterVec
+	// RoomWaits counts requests that waited until a backend server had room for them, and RoomWaitSeconds sums how
+	// long, by route.
+	RoomWaits, RoomWaitSeconds *prometheus.CounterVec
 	// LimitedSends counts requests to backend servers that named a rate limit, by service.
 	LimitedSends *prometheus.CounterVec
 	// SharedParts counts requests with a shared prompt part by service and by what their server is expected to do about it.
@@ -78,6 +81,8 @@
 	m.Overruns = m.vector("answer_overruns_total", "Answers of backend servers that exceeded a bound, by the bound.", "bound")
 	m.ClientBounds = m.vector("client_bounds_total", "Connections that were closed or refused for a bound on what clients may take, by port and bound.", "port", "bound")
 	m.BrittleRejections = m.vector("brittle_rejections_total", "Requests that brittle backend servers rejected, by service.", "service")
+	m.RoomWaits = m.vector("room_waits_total", "Requests that waited at this instance until a backend server had room for them, by route.", "route")
+	m.RoomWaitSeconds = m.vector("room_wait_seconds_total", "Time that requests waited at this instance for room at a backend server, by route.", "route")
 	m.LimitedSends = m.vector("limited_sends_total", "Requests to backend servers that named a rate limit, by service.", "service")
 	m.SharedParts = m.vector("shared_parts_total", "Requests with a shared prompt part, by service and what their server is expected to do about it: it was sent the part before, is its home, copies it, or reads it.", "service", "use")
 	m.ServersPresent = m.gauges("servers_present", "Backend servers that are present, at the instance that orders them.", "service", "zone")
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -39,6 +39,8 @@
 	// CopyWork is how long a server takes to copy the shared part from another server, in milliseconds; zero if
 	// the service's servers can't.
 	CopyWork float64
+	// Room, if it is not zero, is the longest expected wait at the server with which the request may be sent.
+	Room clock.Millis
 	// SideFunc chooses the releases that may take the request under the current roll-out
 	// order. If strict is false, another side may be used when the chosen one has no usable
 	// server.
@@ -92,6 +94,9 @@
 	}
 	chosen := r.choose(want, now)
 	w := chosen.row
+	if err := w.checkRoom(want, now); err != nil {
+		return nil, err
+	}
 	w.inFlight++
 	r.recordPlacement(want, chosen, now)
 	w.pending += chosen.work
--- a/internal/request/runner/hedge.go
+++ b/internal/request/runner/hedge.go
@@ -10,6 +10,7 @@
 
 	"example.com/dotterelwell/internal/contract/message"
 	"example.com/dotterelwell/internal/contract/routing"
+	"example.com/dotterelwell/internal/load/assessor"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/roster"
 )
@@ -164,7 +165,7 @@
 // serveWhole runs a request whose answer is buffered and forwarded as a whole.
 func (x *execution) serveWhole() *message.Refusal {
 	once := x.route.Delivery == routing.DeliveryOnce
-	unsent := 0
+	unsent := assessor.Unsent{}
 	for {
 		slot, refusal := x.acquire()
 		if refusal != nil {
@@ -179,7 +180,7 @@
 		}
 		switch w.verdict {
 		case verdictUnsent:
-			if unsent++; unsent >= maxUnsentAttempts {
+			if !unsent.Add(w.attempt.headLatency, x.route.FirstByteTarget) {
 				return x.forwardSaved(x.refuseUnserved(w.err))
 			}
 			x.excludeServer(w.slot.Server.ID)
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -126,7 +126,8 @@
 	}
 	t.recordAdvice()
 	if v == verdictForward && x.route.CacheAffine {
-		x.Predictor.ObservePrefill(x.requestedModel(), slot.Work(), t.headLatency)
+		waited := x.Predictor.ObservePrefill(x.requestedModel(), slot.Work(), t.headLatency)
+		x.waits.Observe(x.service, waited, x.Clock.Now())
 	}
 	reportFirstByte(t.headLatency, v == verdictForward)
 	return t, v, nil
@@ -316,16 +317,6 @@
 	return cmp.Or(string(inspector.KindOf(err)), string(bufferer.KindOf(err)), string(fault.KindOf[splitter.Kind](err)))
 }
 
-// urgency returns the request's rank at the server, from 0 to 9. The priority of the
-// workspace, if it has one, overrides that of the route.
-func (x *execution) urgency() int {
-	priority := x.route.Priority
-	if x.workspace != nil && x.workspace.HasPriority {
-		priority = x.workspace.Priority
-	}
-	return min(max(priority, 0), 9)
-}
-
 // excludeServer keeps the request from being sent to a server again.
 func (x *execution) excludeServer(id ident.Server) { x.excluded = append(x.excluded, id) }
 
