--- a/internal/duty/autoscaler/autoscaler_test.go
+++ b/internal/duty/autoscaler/autoscaler_test.go
@@ -161,11 +161,18 @@
 func TestSuperseded(t *testing.T) {
 	w := newWorld(12)
 	h := w.holder(duty.Authority{Holder: "x", Term: 3})
+	var mu sync.Mutex // zones are ordered at the same time
 	superseded := map[duty.Term]bool{}
 	held := h.HeldFunc
-	h.SupersededFunc = func(term duty.Term) { superseded[term] = true }
+	h.SupersededFunc = func(term duty.Term) {
+		mu.Lock()
+		defer mu.Unlock()
+		superseded[term] = true
+	}
 	h.HeldFunc = func() (duty.Authority, bool) {
 		authority, ok := held()
+		mu.Lock()
+		defer mu.Unlock()
 		return authority, ok && !superseded[authority.Term]
 	}
 	w.answer = func(call) error { return failure(duty.KindSuperseded) }
