Runner: refusals in a file of their own, same code

Moved without change; build, vet, revive and the tests of refusals, targets, resumes and time-outs passed.

--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -361,39 +361,6 @@
 // errServiceChanged means that a newer configuration routes the request to another service.
 var errServiceChanged = errors.New("the route leads to another service")
 
-const (
-	// defaultRetryAfter is the Retry-After of refusals for which no better value is known.
-	defaultRetryAfter clock.Millis = 300
-	// stoppingRetryAfter is the Retry-After of an instance that is about to stop. It is short
-	// because another instance can answer at once.
-	stoppingRetryAfter clock.Millis = 50
-)
-
-func (x *execution) refuse(kind message.Kind, err error) *message.Refusal {
-	refusal := &message.Refusal{Op: "serve request", Kind: kind, Err: err, RetryAfter: defaultRetryAfter}
-	switch kind {
-	case message.KindStopping:
-		refusal.RetryAfter = stoppingRetryAfter
-	case message.KindOverloaded:
-		refusal.RetryAfter = max(defaultRetryAfter, x.pause(false).RetryAfter)
-	}
-	return refusal
-}
-
-// refuseUnserved returns the refusal of a request that got no usable answer. The kind tells
-// whether a server may have run the request.
-func (x *execution) refuseUnserved(err error) *message.Refusal {
-	switch {
-	case x.streamStarted:
-		return x.refuse(message.KindTruncated, err)
-	case x.Clock.Now() >= x.deadline && x.mayHaveRun:
-		return x.refuse(message.KindTimeout, err)
-	case x.mayHaveRun:
-		return x.refuse(message.KindFailed, err)
-	}
-	return x.refuse(message.KindOverloaded, err)
-}
-
 // requestedModel returns the model of the next attempt: the one that the cascade chose, or
 // else the one that the caller named.
 func (x *execution) requestedModel() declaration.ModelName {
@@ -403,17 +370,6 @@
 	return x.req.Model
 }
 
-// contextRefusal returns the refusal of a request whose context is done.
-func (x *execution) contextRefusal() *message.Refusal {
-	if errors.Is(context.Cause(x.ctx), context.DeadlineExceeded) {
-		return x.refuseUnserved(errors.New("request deadline exceeded"))
-	}
-	if x.streamStarted {
-		return x.refuse(message.KindTruncated, context.Cause(x.ctx))
-	}
-	return x.refuse(message.KindCallerGone, context.Cause(x.ctx))
-}
-
 // takeRetry reports whether the request may be sent to one more server. If so, it takes one
 // retry from the service's budget.
 func (x *execution) takeRetry() bool {
