--- a/internal/link/gossiper/builds_test.go
+++ b/internal/link/gossiper/builds_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	_ "embed"
 	"encoding/base64"
 	"encoding/gob"
+	"net/rpc"
 	"strings"
 	"testing"
 
@@ -71,3 +73,21 @@
 		t.Errorf("decoded %+v", got)
 	}
 }
+
+// TestCallsOfOlderBuild guards against calls of the build of e311602 that are not served any more.
+func TestCallsOfOlderBuild(t *testing.T) {
+	run(t, 1, 1, func(t *testing.T, f *fleet) {
+		conn, err := f.network.Dialer("10.0.0.9")(context.Background(), "tcp", string(f.peers[0].Address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		client := rpc.NewClient(conn)
+		defer client.Close()
+		if err := client.Call("gossip.Exchange", gossiper.Message{From: "older"}, new(gossiper.Message)); err != nil {
+			t.Error(err)
+		}
+		if err := client.Call("gossip.Pull", gossiper.PullArgs{Kind: kind}, new(gossiper.PullReply)); err != nil {
+			t.Error(err)
+		}
+	})
+}
