Settings that nothing uses are gone

Eight settings were read and not used: how long a leaving server may get requests (it gets none), the slack of requests to a bad release (the share alone is kept), the time for which a cache is priced, whether the platform fences (calls carry terms and obey refusals anyhow), how long a thawed process may go on (each call checks the lease right before), the error that usage may have (none is planned with), all calls that the platform takes (only those for duties are made), and the region. TestSettingsAreUsed fails for a setting that is read and named nowhere else; it named seven of these (the region's name is also a field elsewhere). Those of serve are all used.

--- a/internal/machine/profile/profile.go
+++ b/internal/machine/profile/profile.go
@@ -31,8 +31,6 @@
 type Bounds struct {
 	// ConfigLag is how long a new configuration may take to be in force.
 	ConfigLag clock.Millis
-	// DrainLag is how long a leaving server may still receive requests.
-	DrainLag clock.Millis
 	// Grace is the time from the signal to stop to the forced end.
 	Grace clock.Millis
 	// RetryWindow, RetryRatio and RetrySlack bound the requests of all instances to a
@@ -41,30 +39,20 @@
 	RetryWindow clock.Millis
 	RetryRatio  float64
 	RetrySlack  float64
-	// ExposureShare and ExposureSlack bound the requests that a bad release receives:
-	// the share of the service's requests during the roll-out plus the slack.
+	// ExposureShare bounds the requests that a bad release receives, as a share of the service's
+	// requests during the roll-out.
 	ExposureShare float64
-	ExposureSlack float64
 	// ColdOverrun and ColdSlack bound the requests in one second to a cold server: the
 	// rate that it bears times the overrun plus the slack.
 	ColdOverrun float64
 	ColdSlack   float64
-	// CacheSpan is how long prompt parts are worth keeping after their last use.
-	CacheSpan clock.Millis
 	// SessionGap is the longest pause between two requests of one session.
 	SessionGap clock.Millis
-	// Fenced tells that the platform refuses calls with a lower term than it has seen for the
-	// same duty.
-	Fenced bool
-	// Lease is the time within which a duty must not go to another instance and back, and Thaw
-	// how long a process that was paused may go on with what it had begun.
-	Lease, Thaw clock.Millis
-	// UsagePeriod is the length of the periods for which usage is reported. UsageError is the
-	// share by which a count may be wrong, and UsageDelay the time after the end of a period
-	// at which its report is due.
-	UsagePeriod clock.Millis
-	UsageError  float64
-	UsageDelay  clock.Millis
+	// Lease is the time within which a duty must not go to another instance and back.
+	Lease clock.Millis
+	// UsagePeriod is the length of the periods for which usage is reported, and UsageDelay the
+	// time after the end of a period at which its report is due.
+	UsagePeriod, UsageDelay clock.Millis
 }
 
 // Duties describes the calls to the platform that one instance makes for the whole fleet.
@@ -73,9 +61,9 @@
 	Address ident.Address
 	// Metering and Scaling tell which duties there are.
 	Metering, Scaling bool
-	// CallsPerSecond is how many calls the platform takes in a second, and DutyCallsPerSecond
-	// how many of these for duties, of all instances together.
-	CallsPerSecond, DutyCallsPerSecond float64
+	// DutyCallsPerSecond is how many calls for duties the platform takes in a second, of all instances
+	// together.
+	DutyCallsPerSecond float64
 }
 
 // Names returns the duties.
@@ -97,7 +85,6 @@
 type Profile struct {
 	Instance ident.Instance
 	Zone     declaration.ZoneName
-	Region   declaration.RegionName
 	// IP is the address at which other instances reach this one.
 	IP netip.Addr
 	// CallerAddress and ReadyAddress are where callers and the balancer connect.
