serve: errors of accept that pass are waited out on the ports of callers and operators

net/http waits out a lack of descriptors; an error such as ENOBUFS ended the server, and with it the instance.

TestAcceptErrorsThatPass fails without the change: accept is tried once on the callers' port, and the instance ends.

--- a/internal/machine/assembler/run.go
+++ b/internal/machine/assembler/run.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"example.com/dotterelwell/internal/contract/lister"
+	"example.com/dotterelwell/internal/link/accepter"
 	"example.com/dotterelwell/internal/link/chronicler"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/fault"
@@ -76,7 +77,7 @@
 
 type listeners struct{ caller, peer, operator net.Listener }
 
-// listen opens the listeners that were not given.
+// listen opens the listeners that were not given. That of peers waits out errors of accept in its connector.
 func (n *Node) listen() (listeners, error) {
 	l := listeners{caller: n.outside.Caller, peer: n.outside.Peer, operator: n.outside.Operator}
 	for _, open := range []struct {
@@ -92,6 +93,8 @@
 		}
 		*open.listener = opened
 	}
+	l.caller = &accepter.Accepter{Listener: l.caller, Port: "callers"}
+	l.operator = &accepter.Accepter{Listener: l.operator, Port: "operators"}
 	k := n.Settings.Keys
 	if k.CertFile == "" {
 		return l, nil
