Duties: late usage is a problem, calls keep to duty_per_s

A late report showed in a log line and a gauge of the holder only, and not at all while none held the duty. Every instance knows the newest period that was acknowledged, so each lists the problem usage-late in /status and tells usage_overdue_seconds. The setting duty_per_s bounded orders only, and at two a second at least; the holders of all duties now make four fifths of those calls at most, each duty the same part.

--- a/internal/contract/problem/problem.go
+++ b/internal/contract/problem/problem.go
@@ -1,4 +1,5 @@
-// Package problem forms the refusals that callers see, as application/problem+json (RFC 9457).
+// Package problem forms the refusals that callers see, as application/problem+json (RFC 9457), and what
+// operators are told of an instance in the same form.
 package problem
 
 import (
@@ -23,10 +24,10 @@
 	OutcomeRan Outcome = "ran"
 )
 
-// Type names the reason of a refusal.
+// Type names the reason of a refusal, or what an operator should look into.
 type Type string
 
-// Reasons of refusals.
+// Reasons of refusals, and problems for operators.
 const (
 	// TypeBadBody means that the body cannot be read or is not a request.
 	TypeBadBody Type = "bad-body"
@@ -70,18 +71,20 @@
 	TypeAnswerCut Type = "answer-cut"
 	// TypeNotFound means that no claim with the key is known.
 	TypeNotFound Type = "request-not-found"
+	// TypeUsageLate means that the usage of a period was not reported to the platform in time; callers never see it.
+	TypeUsageLate Type = "usage-late"
 )
 
 // ContentType is the media type of a problem document.
 const ContentType = "application/problem+json"
 
-// Document is a refusal.
+// Document is a refusal, or a problem for operators, which has neither status nor outcome.
 type Document struct {
 	Type    Type    `json:"type"`
 	Title   string  `json:"title"`
-	Status  int     `json:"status"`
+	Status  int     `json:"status,omitempty"`
 	Detail  string  `json:"detail"`
-	Outcome Outcome `json:"outcome"`
+	Outcome Outcome `json:"outcome,omitempty"`
 	// RetryAfter is the span after which asking again may help; zero for none.
 	RetryAfter clock.Millis `json:"retry-after-ms,omitempty"`
 }
@@ -97,6 +100,11 @@
 	}
 }
 
+// ForOperators returns a document that no caller sees.
+func ForOperators(t Type, title, format string, args ...any) Document {
+	return Document{Type: t, Title: title, Detail: fmt.Sprintf(format, args...)}
+}
+
 // After returns the document with the time after which to ask again.
 func (d *Document) After(span clock.Millis) *Document {
 	d.RetryAfter = span
--- a/internal/duty/counter/counter.go
+++ b/internal/duty/counter/counter.go
@@ -22,6 +22,8 @@
 	// KeepSpan is how long after the end of a period its counts are kept, for a store that is
 	// away.
 	KeepSpan = 120 * clock.Second
+	// hearSpan is the time within which all instances hear that a period was reported.
+	hearSpan = 2 * clock.Second
 )
 
 // Counts holds the requests of each workspace.
@@ -244,3 +246,16 @@
 	defer c.mu.Unlock()
 	c.fixed, c.sent = max(c.fixed, fixed), max(c.sent, sent)
 }
+
+// Overdue returns the oldest period that is not known to be reported although its report is late, and
+// how long ago it was due: late after the end of the period. Any instance can tell, also if none holds
+// the duty.
+func (c *Counter) Overdue(late clock.Millis) (period duty.Period, since clock.Millis, found bool) {
+	if _, sent := c.Progress(); sent > 0 {
+		period = sent + 1
+	} else if period, found = c.First(); !found {
+		return 0, 0, false
+	}
+	since = c.NowFunc() - c.End(period) - late
+	return period, since, since > hearSpan
+}
--- a/internal/duty/counter/counter_test.go
+++ b/internal/duty/counter/counter_test.go
@@ -157,3 +157,33 @@
 		t.Errorf("%d bytes a message, %d of them a second exceed half of the budget", size, 2)
 	}
 }
+
+// TestOverdue guards against a late report that only the holder of the duty could notice, and against one that is called late
+// before all have heard that it was done.
+func TestOverdue(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		sent   duty.Period
+		counts bool
+		age    clock.Millis // since the end of period 1000
+		want   duty.Period
+	}{
+		{name: "no requests yet", age: 60 * clock.Second},
+		{name: "in time", counts: true, age: 11 * clock.Second},
+		{name: "none reported", counts: true, age: 13 * clock.Second, want: 1000},
+		{name: "reported", sent: 1000, counts: true, age: 13 * clock.Second},
+		{name: "the next one is late", sent: 1000, age: 18 * clock.Second, want: 1001},
+	} {
+		f := &fleet{now: 1000 * length}
+		a := f.counter("a", "zone")
+		if c.counts {
+			a.Count("acme")
+		}
+		a.Merge("holder", counter.Report{Sent: c.sent})
+		f.now = a.End(1000) + c.age
+		period, since, late := a.Overdue(10 * clock.Second)
+		if late != (c.want > 0) || late && (period != c.want || since != f.now-a.End(c.want)-10*clock.Second) {
+			t.Errorf("%s: period %d, late for %d ms, %v", c.name, period, since, late)
+		}
+	}
+}
--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -6,14 +6,17 @@
 
 	"example.com/dotterelwell/declaration"
 	"example.com/dotterelwell/internal/contract/duty"
+	"example.com/dotterelwell/internal/contract/problem"
 	"example.com/dotterelwell/internal/duty/autoscaler"
 	"example.com/dotterelwell/internal/duty/counter"
 	"example.com/dotterelwell/internal/duty/demander"
 	"example.com/dotterelwell/internal/duty/leaser"
+	"example.com/dotterelwell/internal/duty/pacer"
 	"example.com/dotterelwell/internal/duty/settler"
 	"example.com/dotterelwell/internal/link/gossiper"
 	"example.com/dotterelwell/internal/link/timekeeper"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/fault"
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/platform"
 )
@@ -21,6 +24,10 @@
 // dutyTimeout bounds a call of the platform for a duty.
 const dutyTimeout = 2 * clock.Second
 
+// callPart is the part of the calls accepted by the platform that the holders of all duties make. The
+// rest is for calls that arrive unevenly, or of a holder before.
+const callPart = 0.8
+
 // duties are the parts of an instance that work for the whole fleet towards the platform. Without
 // such work in the settings all fields are nil.
 type duties struct {
@@ -111,7 +118,7 @@
 	h.Gossiper.HolderFunc = h.meteringHolder
 	h.Runner.OnBegin = d.counter.Count
 	d.settler = &settler.Settler{
-		Clock: h.Clock, Store: h.Store, Platform: d.platform, HeldFunc: held.Held, OnSuperseded: held.Superseded, OnStoreError: held.Doubt,
+		Clock: h.Clock, Store: h.Store, Platform: h.pacedPlatform(), HeldFunc: held.Held, OnSuperseded: held.Superseded, OnStoreError: held.Doubt,
 		NowFunc: d.timekeeper.Now, EndFunc: d.counter.End, PeriodFunc: d.counter.PeriodAt,
 		TotalFunc: func(p duty.Period) map[declaration.WorkspaceName]int { return d.counter.Total(p) },
 		FirstFunc: d.counter.First, ProgressFunc: d.counter.Progress, OnProgress: d.counter.NoteProgress,
@@ -124,9 +131,47 @@
 	gauge("usage_reports_late", "Usage reports that were acknowledged after they were due.", func(s settler.Stats) int { return s.Late })
 	gauge("usage_reports_lost", "Periods whose usage could not be reported.", func(s settler.Stats) int { return s.Lost })
 	gauge("usage_backlog", "Periods whose usage is fixed and not reported yet.", func(s settler.Stats) int { return s.Backlog })
+	h.Meter.Gauge("usage_overdue_seconds", "For how long the oldest report of usage that is not known to be done has been late.", func() float64 {
+		_, since, _ := d.counter.Overdue(h.currentBounds().UsageDelay)
+		return max(since, 0).Duration().Seconds()
+	})
 	h.Meter.Gauge("clock_offset_seconds", "How far the median of the fleet's clocks is ahead of this instance's.", func() float64 { return d.timekeeper.Offset().Duration().Seconds() })
 }
 
+// pacedPlatform returns a client for one duty, whose calls keep to the duty's part of those that the
+// platform accepts. Others are answered as the platform would.
+func (h *Host) pacedPlatform() *duty.Platform {
+	p := &pacer.Pacer{Clock: h.Clock, PerSecond: callPart * h.Profile.Duties.DutyCallsPerSecond / float64(len(h.Profile.Duties.Names()))}
+	paced := func(op string, call func() error) error {
+		if !p.Take() {
+			return fault.Newf(op, duty.KindBusy, "over %g calls in a second", p.PerSecond)
+		}
+		return call()
+	}
+	to := h.duties.platform
+	return &duty.Platform{
+		ReportFunc: func(ctx context.Context, authority duty.Authority, usage duty.Usage) error {
+			return paced("report usage", func() error { return to.Report(ctx, authority, usage) })
+		},
+		ScaleFunc: func(ctx context.Context, authority duty.Authority, order duty.Order) error {
+			return paced("order servers", func() error { return to.Scale(ctx, authority, order) })
+		},
+	}
+}
+
+// problems returns what an operator should look into.
+func (h *Host) problems() []problem.Document {
+	problems := []problem.Document{}
+	if h.duties.counter == nil {
+		return problems
+	}
+	if period, since, late := h.duties.counter.Overdue(h.currentBounds().UsageDelay); late {
+		problems = append(problems, problem.ForOperators(problem.TypeUsageLate, "Usage is not reported in time",
+			"the report of period %d was due %d s ago; the holder of the duty is %q", period, since/clock.Second, h.meteringHolder()))
+	}
+	return problems
+}
+
 // meteringHolder returns the instance that holds the duty of metering, as far as this one knows.
 func (h *Host) meteringHolder() ident.Instance {
 	claim, _ := h.duties.leasers[duty.Metering].Claim()
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -384,7 +384,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	err := json.NewEncoder(w).Encode(map[string]any{
 		"instance": h.Profile.Instance, "zone": h.Profile.Zone, "ready": h.ready(), "config": version,
-		"in-flight": h.inFlight.Load(), "peers": h.Enlister.Names(), "servers": h.Roster.Rows(), "quarantine": h.Quarantiner.Entries(),
+		"in-flight": h.inFlight.Load(), "peers": h.Enlister.Names(), "servers": h.Roster.Rows(), "quarantine": h.Quarantiner.Entries(), "problems": h.problems(),
 	})
 	if err != nil {
 		klog.ErrorS(err, "Status could not be written")
