--- a/internal/duty/leaser/leaser.go
+++ b/internal/duty/leaser/leaser.go
@@ -38,6 +38,10 @@
 	otherDelay = 3 * clock.Second
 	// awaySpan is how long the store may be away from the holder alone before it gives the duty up.
 	awaySpan clock.Millis = 2500
+	// silentSpan is added to the lease to get the time for which the platform may answer no call before the
+	// holder gives the duty up, restSpan is for how long it then leaves the duty to others, and restDelay
+	// how much longer than these it waits.
+	silentSpan, restSpan, restDelay = 5 * clock.Second, 30 * clock.Second, 8 * clock.Second
 	// releasedSettle is the time between a claim and the first call if the holder before has
 	// given the duty up itself.
 	releasedSettle clock.Millis = 500
@@ -112,8 +116,8 @@
 	own      *holding
 	// refused is the newest own term that the platform has refused.
 	refused duty.Term
-	// pauseUntil is until when the store is left alone.
-	pauseUntil clock.Millis
+	// pauseUntil is until when the store is left alone, and restUntil until when others go first.
+	pauseUntil, restUntil clock.Millis
 }
 
 // holding is what this instance knows of the duty while it holds it.
@@ -128,6 +132,8 @@
 	confirmedAt, readAt clock.Millis
 	// awaySince is when reads began to fail; zero while they succeed.
 	awaySince clock.Millis
+	// unansweredSince is when calls of the platform began to get no answer; zero while they do.
+	unansweredSince clock.Millis
 	// claimedAt is when the duty was claimed.
 	claimedAt clock.Millis
 }
@@ -229,6 +235,25 @@
 	}
 }
 
+// NotePlatform tells whether a call of the platform was answered. A holder that gets no answer for long
+// gives the duty up, as it may be cut off alone.
+func (l *Leaser) NotePlatform(answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.own == nil:
+	case answered:
+		l.own.unansweredSince = 0
+	case l.own.unansweredSince == 0:
+		l.own.unansweredSince = l.Clock.Now()
+	}
+}
+
+// unheard reports whether the platform has not answered the holder for too long. The lock must be held.
+func (l *Leaser) unheard(now clock.Millis) bool {
+	return l.own != nil && l.own.unansweredSince > 0 && now-l.own.unansweredSince >= l.LeaseFunc()+silentSpan
+}
+
 // Claim returns the newest claim known, for messages to peers.
 func (l *Leaser) Claim() (Claim, bool) {
 	l.mu.Lock()
--- a/internal/duty/leaser/store.go
+++ b/internal/duty/leaser/store.go
@@ -32,10 +32,15 @@
 // work calls the store if that is due.
 func (l *Leaser) work(ctx context.Context) {
 	touch, stopping := l.TouchFunc(), l.StoppingFunc()
-	candidate := !stopping && l.CandidateFunc()
+	named := !stopping && l.CandidateFunc()
 	elsewhere := l.StoreElsewhereFunc()
 	l.mu.Lock()
 	now := l.Clock.Now()
+	unheard := l.unheard(now)
+	if unheard {
+		l.restUntil = now + restSpan
+	}
+	candidate := named && now >= l.restUntil
 	own, before := l.own, l.known.Holder
 	due := now >= l.pauseUntil
 	reads := own != nil && now-own.readAt >= l.readEvery(touch)
@@ -43,7 +48,7 @@
 	claims := own == nil && !stopping && l.mayClaim(now, candidate, touch)
 	l.mu.Unlock()
 	switch {
-	case own != nil && (stopping || gone):
+	case own != nil && (stopping || gone || unheard):
 		l.release(ctx)
 	case due && reads:
 		l.confirm(ctx)
@@ -82,6 +87,9 @@
 	if !candidate {
 		wait += otherDelay + l.spread()
 	}
+	if now < l.restUntil {
+		wait += restDelay
+	}
 	return now-l.heardAt >= wait
 }
 
@@ -250,7 +258,7 @@
 	l.own = nil
 	l.known.Released = true
 	l.mu.Unlock()
-	klog.InfoS("Duty is given up", "duty", l.Duty, "term", own.term, "store-away", own.awaySince > 0)
+	klog.InfoS("Duty is given up", "duty", l.Duty, "term", own.term, "store-away", own.awaySince > 0, "platform-silent", own.unansweredSince > 0)
 	l.told("")
 	value, err := json.Marshal(record{Holder: l.Instance, Incarnation: l.Incarnation, Term: own.term, Since: l.Clock.Now(), Released: true})
 	if err == nil {
--- a/internal/machine/host/duties.go
+++ b/internal/machine/host/duties.go
@@ -118,7 +118,7 @@
 	h.Gossiper.HolderFunc = h.meteringHolder
 	h.Runner.OnBegin = d.counter.Count
 	d.settler = &settler.Settler{
-		Clock: h.Clock, Store: h.Store, Platform: h.pacedPlatform(), HeldFunc: held.Held, OnSuperseded: held.Superseded, OnStoreError: held.Doubt,
+		Clock: h.Clock, Store: h.Store, Platform: h.platformFor(duty.Metering), HeldFunc: held.Held, OnSuperseded: held.Superseded, OnStoreError: held.Doubt,
 		NowFunc: d.timekeeper.Now, EndFunc: d.counter.End, PeriodFunc: d.counter.PeriodAt,
 		TotalFunc: func(p duty.Period) map[declaration.WorkspaceName]int { return d.counter.Total(p) },
 		FirstFunc: d.counter.First, ProgressFunc: d.counter.Progress, OnProgress: d.counter.NoteProgress,
@@ -138,15 +138,18 @@
 	h.Meter.Gauge("clock_offset_seconds", "How far the median of the fleet's clocks is ahead of this instance's.", func() float64 { return d.timekeeper.Offset().Duration().Seconds() })
 }
 
-// pacedPlatform returns a client for one duty, whose calls keep to the duty's part of those that the
-// platform accepts. Others are answered as the platform would.
-func (h *Host) pacedPlatform() *duty.Platform {
+// platformFor returns a client for one duty, whose calls keep to the duty's part of those that the
+// platform accepts. Others are answered as the platform would. The leaser learns whether calls are
+// answered.
+func (h *Host) platformFor(name duty.Name) *duty.Platform {
 	p := &pacer.Pacer{Clock: h.Clock, PerSecond: callPart * h.Profile.Duties.DutyCallsPerSecond / float64(len(h.Profile.Duties.Names()))}
 	paced := func(op string, call func() error) error {
 		if !p.Take() {
 			return fault.Newf(op, duty.KindBusy, "over %g calls in a second", p.PerSecond)
 		}
-		return call()
+		err := call()
+		h.duties.leasers[name].NotePlatform(duty.KindOf(err) != duty.KindUnavailable)
+		return err
 	}
 	to := h.duties.platform
 	return &duty.Platform{
--- a/internal/machine/host/scaling.go
+++ b/internal/machine/host/scaling.go
@@ -29,7 +29,7 @@
 	h.Gossiper.DemandFunc = h.demandFor
 	held := d.leasers[duty.Scaling]
 	d.autoscaler = &autoscaler.Autoscaler{
-		Clock: h.Clock, HeldFunc: held.Held, SupersededFunc: held.Superseded, ScaleFunc: h.pacedPlatform().Scale,
+		Clock: h.Clock, HeldFunc: held.Held, SupersededFunc: held.Superseded, ScaleFunc: h.platformFor(duty.Scaling).Scale,
 		StatesFunc: h.scalingStates, PerSecond: h.Profile.Duties.DutyCallsPerSecond,
 		OnState: func(s autoscaler.Subject, present, desired int) {
 			h.Meter.ServersPresent.WithLabelValues(string(s.Service), string(s.Zone)).Set(float64(present))
