Stager: a roll-out read late is completed by its deadline

Cause: the stages of a roll-out are fractions of its time from when the first instance read the order.

The informer tells since when an object may have been unread, after calls to the store had failed. The stages after the canary stage are shortened by that, at most to half; the canary stage still counts from the reading, because sessions keep their release in the first half of the time.

--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -167,6 +167,9 @@
 	h.Stager = &stager.Stager{
 		Clock: h.Clock, ViewFunc: h.Curator.View, Tallier: h.tallier,
 		ExposureShare: h.Profile.Bounds.ExposureShare, SessionGap: h.Profile.Bounds.SessionGap,
+		UnreadSinceFunc: func(service declaration.ServiceName) clock.Millis {
+			return h.informers[platform.RolloutKind].UnreadSince(string(service))
+		},
 		HasAllEvidenceFunc: func(service declaration.ServiceName) bool { return h.Gossiper.CollectsEvidence(service) },
 		OnBad:              func(declaration.ServiceName, backend.Release, string) { h.Gossiper.SendToAll(context.Background()) },
 	}
--- a/internal/version/stager/stager.go
+++ b/internal/version/stager/stager.go
@@ -95,6 +95,8 @@
 	Target backend.Release
 	// Elapsed is the time since the first instance read the order.
 	Elapsed clock.Millis
+	// MaxAge is the longest time for which the order can have existed; zero if it was read at once.
+	MaxAge clock.Millis
 	// Bad is the reason why the release was found bad; empty if it was not.
 	Bad string
 	// Suspect is set while the evidence against the release is at least suspectEvidence.
@@ -130,6 +132,9 @@
 	// HasAllEvidenceFunc reports whether this instance receives the tallies of all instances for
 	// a service; nil means that it does.
 	HasAllEvidenceFunc func(service declaration.ServiceName) bool
+	// UnreadSinceFunc returns the time after which an order was placed, if it may have stayed unread
+	// for a while, and zero otherwise; nil means that orders are read at once.
+	UnreadSinceFunc func(service declaration.ServiceName) clock.Millis
 	// OnBad, when set, is called once when this instance finds a release bad or receives that
 	// result from another instance.
 	OnBad func(service declaration.ServiceName, target backend.Release, reason string)
@@ -144,7 +149,9 @@
 type rollout struct {
 	target    backend.Release
 	startedAt clock.Millis
-	badReason string
+	// placedAfter is a time before the order was placed; zero if the order was read at once.
+	placedAfter clock.Millis
+	badReason   string
 	// suspectedAt is when an instance last found the release suspect; 0 for never.
 	suspectedAt clock.Millis
 	// inconclusiveAt is when an instance last found the evidence too little to clear the release;
@@ -170,6 +177,7 @@
 			s.states = map[declaration.ServiceName]*rollout{}
 		}
 		state = &rollout{target: order.Target, startedAt: s.Clock.Now(), keptDraws: map[uint64]bool{}}
+		s.recordUnread(state, order)
 		s.states[order.Service] = state
 		s.keepActiveSessions(state, order)
 	}
@@ -233,12 +241,6 @@
 	return float64(d.Sum64()>>11) / (1 << 53)
 }
 
-// elapsedFraction returns the elapsed fraction of the roll-out's time. It exceeds 1 after the end
-// of that time.
-func (s *Stager) elapsedFraction(state *rollout, order backend.Rollout) float64 {
-	return float64(s.Clock.Now()-state.startedAt) / float64(max(order.Within, 1))
-}
-
 // newReleaseShare returns the share of the sessions that use the new release. The lock must be
 // held.
 func (s *Stager) newReleaseShare(state *rollout, elapsed float64) float64 {
@@ -265,6 +267,9 @@
 		}
 		state := s.stateOf(order)
 		sent := Stage{Target: state.target, Elapsed: s.Clock.Now() - state.startedAt, Bad: state.badReason}
+		if state.placedAfter > 0 {
+			sent.MaxAge = s.Clock.Now() - state.placedAfter
+		}
 		if s.suspected(state) {
 			sent.Suspect, sent.SuspectAge = true, s.Clock.Now()-state.suspectedAt
 		}
@@ -290,7 +295,7 @@
 		}
 		s.mu.Lock()
 		state := s.stateOf(order)
-		state.startedAt = min(state.startedAt, s.Clock.Now()-received.Elapsed)
+		s.mergeStart(state, received)
 		if received.Suspect {
 			state.suspectedAt = max(state.suspectedAt, s.Clock.Now()-received.SuspectAge)
 		}
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -122,6 +122,10 @@
 	// newer version existed.
 	confirmedAt   clock.Millis
 	outageEndedAt clock.Millis
+	// failedAt is when a call to the store last failed or was restarted; zero for never.
+	failedAt clock.Millis
+	// unreadSince is the result of UnreadSince for each object that may have been read late.
+	unreadSince map[string]clock.Millis
 }
 
 // Run keeps the copy up to date until ctx is done.
@@ -140,6 +144,7 @@
 			return nil
 		}
 		if err != nil && restarted {
+			i.recordFailure()
 			continue
 		}
 		i.RecordStoreCall(err)
@@ -264,6 +269,9 @@
 // RecordStoreCall records the result of a call to the store and calls OnStoreContact when
 // the store became unreachable or reachable.
 func (i *Informer) RecordStoreCall(err error) {
+	if err != nil {
+		i.recordFailure()
+	}
 	if storer.KindOf(err) == storer.KindExpired {
 		err = nil // the store is reachable, it only lacks the history
 	}
--- a/internal/zone/informer/merge.go
+++ b/internal/zone/informer/merge.go
@@ -43,10 +43,12 @@
 	if u.Version < i.position || !u.Whole && u.From > i.position {
 		return nil // older than the copy, or changes between the copy and the update are missing
 	}
+	since := i.lastReadBeforeFailure()
 	i.setConfirmed(i.Clock.Now() - u.Age)
 	var changed []storer.Object
 	if u.Version > i.position {
 		changed = i.mergeNewer(u)
+		i.recordUnread(changed, since)
 	}
 	return append(changed, i.adoptKept(u)...)
 }
