Gates: the system's limit of open files bounds connections as well

Where the system allows fewer descriptors than max_fds, the ports' bounds did not hold: a crowd on the port of peers took every descriptor, and the callers' port, which frees only its own, found none. The bounds are now parts of the lower of the two limits.

--- a/internal/cli/cmds/entry.go
+++ b/internal/cli/cmds/entry.go
@@ -4,9 +4,12 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"runtime/debug"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"example.com/dotterelwell/internal/cli/reloader"
@@ -26,7 +29,7 @@
 const memoryPart = 0.6
 
 func (c *entryCmd) run(ctx context.Context, env environment) error {
-	p, err := platform.LoadProfile()
+	p, err := loadProfile()
 	if err != nil {
 		return err
 	}
@@ -42,6 +45,20 @@
 	return h.Run(ctx, reloads(ctx, p))
 }
 
+// loadProfile reads the settings and the system's limit of open files.
+func loadProfile() (profile.Profile, error) {
+	p, err := platform.LoadProfile()
+	if err != nil {
+		return p, err
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return p, errors.Wrap(err, "limit of open files")
+	}
+	p.OpenFiles = int(min(limit.Cur, math.MaxInt32))
+	return p, nil
+}
+
 // logTo sends all logs to the standard output, without ever blocking on it.
 func logTo(env environment) func() {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
@@ -73,7 +90,7 @@
 			case <-reloader.Process.Requests():
 			case <-look.C:
 			}
-			p, err := platform.LoadProfile()
+			p, err := loadProfile()
 			if err != nil {
 				klog.ErrorS(err, "Changed settings are unusable; the old ones stay")
 				continue
--- a/internal/machine/host/gates.go
+++ b/internal/machine/host/gates.go
@@ -17,9 +17,7 @@
 	connectionPart = 1.0 / 4
 	// messagePart is the part of the memory that messages of peers may take while they are received.
 	messagePart = 1.0 / 8
-	// reservedDescriptors is how many descriptors the platform keeps for files.
-	reservedDescriptors = 200
-	// Parts of the other descriptors that connections of callers, peers, the balancer and operators may take. The
+	// Parts of the descriptors for connections that connections of callers, peers, the balancer and operators may take. The
 	// rest is for connections to servers, of which each request takes one, and to the store.
 	callerDescriptors   = 3.0 / 8
 	peerDescriptors     = 1.0 / 8
@@ -66,8 +64,8 @@
 // connectionLimit returns the bound of a port's connections, by its part of the descriptors and by memory.
 func (h *Host) connectionLimit(part float64, byMemory int) int {
 	limit := byMemory
-	if h.Profile.Descriptors > 0 {
-		limit = min(limit, int(part*float64(h.Profile.Descriptors-reservedDescriptors)))
+	if sockets := h.Profile.Sockets(); sockets > 0 {
+		limit = min(limit, int(part*float64(sockets)))
 	}
 	return max(limit, fewestConnections)
 }
--- a/internal/machine/host/tunnels.go
+++ b/internal/machine/host/tunnels.go
@@ -47,8 +47,8 @@
 // tunnelLimit returns how many tunnels this instance carries at most.
 func (h *Host) tunnelLimit() int {
 	limit := int(tunnelPart * float64(h.Profile.MemoryBytes) / tunneler.MemoryBytes)
-	if h.Profile.Descriptors > 0 {
-		limit = min(limit, int(tunnelPart*float64(h.Profile.Descriptors)/tunnelDescriptors))
+	if sockets := h.Profile.Sockets(); sockets > 0 {
+		limit = min(limit, int(tunnelPart*float64(sockets)/tunnelDescriptors))
 	}
 	return max(limit, 1)
 }
--- a/internal/machine/profile/profile.go
+++ b/internal/machine/profile/profile.go
@@ -96,6 +96,8 @@
 	// of its files and sockets.
 	MemoryBytes int64
 	Descriptors int
+	// OpenFiles is the system's own limit of the process's descriptors; zero if it sets none.
+	OpenFiles int
 	// CPUShare is the part of a core that the process may use.
 	CPUShare float64
 	// Heartbeat is the time between two writes of a server's entry; zero if the settings tell none.
