Requests that can't be answered in the time left are refused before they are sent

Repeats of a retry storm were sent to engines whose waits exceeded what was left of their time, and ended at their deadline. They are refused as too late (503, not run), told to come back when the work before them is done, spread over as long again. While a quarter of the requests finds no wait nothing is refused, nor is a stream that goes on or a request that may have run. TestRetryStorm and TestRepeatsWithoutTime fail with the decision replaced by false.

--- a/internal/contract/message/message.go
+++ b/internal/contract/message/message.go
@@ -174,6 +174,8 @@
 	KindNoServer Kind = "no-server"
 	// KindQuarantined means that servers crash under the request or under a part of its prompt.
 	KindQuarantined Kind = "quarantined"
+	// KindTooLate means that no backend server can answer the request in the time that is left.
+	KindTooLate Kind = "too-late"
 	// KindOverloaded means that all available backend servers are at capacity.
 	KindOverloaded Kind = "overloaded"
 	// KindFailed means that no server returned a complete answer; the request may have run.
--- a/internal/load/sampler/sampler.go
+++ b/internal/load/sampler/sampler.go
@@ -55,11 +55,17 @@
 // Wait returns the median wait of the service's latest requests, in milliseconds. Requests whose prompt was not cached
 // where it was expected to be look like ones that waited; in calm they are fewer than half.
 func (s *Sampler) Wait(service declaration.ServiceName, now clock.Millis) float64 {
+	_, median := s.Waits(service, now)
+	return median
+}
+
+// Waits returns the wait that three of four of the service's latest requests exceeded, and the median.
+func (s *Sampler) Waits(service declaration.ServiceName, now clock.Millis) (low, median float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.windows[service]
 	if held == nil {
-		return 0
+		return 0, 0
 	}
 	var recent [windowSamples]float64
 	n := 0
@@ -70,8 +76,8 @@
 		}
 	}
 	if n < minSamples {
-		return 0
+		return 0, 0
 	}
 	slices.Sort(recent[:n])
-	return recent[n/2]
+	return recent[n/4], recent[n/2]
 }
--- a/internal/request/runner/acquire.go
+++ b/internal/request/runner/acquire.go
@@ -24,6 +24,9 @@
 	admission := x.newAdmission()
 	defer admission.end()
 	for {
+		if refusal := x.refuseTooLate(); refusal != nil {
+			return nil, refusal
+		}
 		if admission.mustWait(x.Clock.Now()) {
 			if refusal := x.awaitRoom(&admission); refusal != nil {
 				return nil, refusal
--- a/internal/request/runner/refusal.go
+++ b/internal/request/runner/refusal.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"example.com/dotterelwell/internal/contract/message"
+	"example.com/dotterelwell/internal/load/refuser"
 	"example.com/dotterelwell/internal/machine/clock"
 )
 
@@ -28,6 +29,27 @@
 	return refusal
 }
 
+// refuseTooLate returns the refusal of a request that was never sent and can't be answered in the time that is left, or
+// nil. Streams that go on after an event are not refused.
+func (x *execution) refuseTooLate() *message.Refusal {
+	if x.ranking() == nil || x.sends > 0 || x.mayHaveRun || x.answered != nil || x.streamStarted || x.req.After != "" || len(x.probed) > 0 {
+		return nil
+	}
+	now := x.Clock.Now()
+	waits := refuser.Waits{}
+	if waits.Low, waits.Median = x.waits.Waits(x.service, now); waits.Low == 0 {
+		return nil
+	}
+	model := x.requestedModel()
+	needed := x.Predictor.PrefillTime(model, max(x.req.PromptTokens-x.req.SharedTokens(), 0)) + float64(x.decodeTime(model))/2 // half of the answers are shorter than their hint
+	if !refuser.MustRefuse(x.deadline-now, needed, waits) {
+		return nil
+	}
+	refusal := x.refuse(message.KindTooLate, errors.Newf("%d ms left, %.0f needed after a wait of %.0f", x.deadline-now, needed, waits.Low))
+	refusal.RetryAfter = max(defaultRetryAfter, refuser.RetryAfter(waits, x.requestHash))
+	return refusal
+}
+
 // refuseUnserved returns the refusal of a request that got no usable answer. The kind tells
 // whether a server may have run the request.
 func (x *execution) refuseUnserved(err error) *message.Refusal {
