--- a/internal/load/assessor/assessor.go
+++ b/internal/load/assessor/assessor.go
@@ -51,12 +51,12 @@
 	return room
 }
 
-// Left returns the time against which another answer of a request is weighed, of which left is to its target: no
-// more than the target of a more urgent route. The server time that it takes is taken from urgent requests.
+// Left returns the time against which another answer of a request is weighed, of which left is to its target: no more than
+// the work that the request may find before it at a server (Room). The server time that it takes is taken from urgent requests.
 func (a Assessor) Left(priority int, left clock.Millis) clock.Millis {
 	for _, rank := range a.ranks {
 		if rank.Priority < priority && rank.Target > 0 {
-			left = min(left, rank.Target)
+			left = min(left, rank.Target/roomDivisor)
 		}
 	}
 	return left
--- a/internal/load/assessor/assessor_test.go
+++ b/internal/load/assessor/assessor_test.go
@@ -5,6 +5,7 @@
 
 	"example.com/dotterelwell/internal/load/assessor"
 	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/request/cascader"
 )
 
 // TestUnsentServersLost guards against a refusal after some milliseconds of a target of seconds. Load: half of the servers are lost
@@ -79,3 +80,28 @@
 		t.Errorf("gaps are %d ms in calm and %d ms just below the room", calm, busy)
 	}
 }
+
+// TestAnotherAnswerUnderJump guards against second answers of the least urgent kind in the way of urgent first ones. Load: a
+// jump of reports, half of whose first answers are doubtful; servers let requests wait for 400 ms.
+func TestAnotherAnswerUnderJump(t *testing.T) {
+	var a assessor.Assessor
+	a.Add(assessor.Rank{Priority: 2, Target: 6000})
+	a.Add(assessor.Rank{Priority: 0, Target: 2000})
+	var c cascader.Cascader
+	for _, tt := range []struct {
+		name     string
+		priority int
+		waited   float64
+		left     clock.Millis
+		want     bool
+	}{
+		{"report in the jump", 2, 400, 5800, false},
+		{"report in calm", 2, 0, 5800, true},
+		{"urgent digest in the jump", 0, 400, 1800, true},
+	} {
+		pressure := cascader.Pressure(tt.waited, 300, a.Left(tt.priority, tt.left))
+		if got := c.ShouldEscalate(35, pressure); got != tt.want {
+			t.Errorf("%s: a doubtful answer is dropped for another one: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
