--- a/internal/load/queuer/queuer_test.go
+++ b/internal/load/queuer/queuer_test.go
@@ -150,3 +150,37 @@
 		ring[at] = q.Join(request(i))
 	}
 }
+
+// TestCallersLeave checks that requests whose callers are gone leave nothing behind: neither the order to try, which one of
+// them had and never used, nor their part of the workspace's turns. Load: a retry storm of one workspace, whose callers give up in the
+// moment in which a server is freed.
+func TestCallersLeave(t *testing.T) {
+	var q queuer.Queue
+	var storm []*queuer.Waiter
+	for range 200 {
+		storm = append(storm, q.Join(queuer.Request{Priority: 1, Workspace: "storm", LatestStart: 100, Target: 2000, Repeated: true}))
+	}
+	other := q.Join(queuer.Request{Priority: 2, Workspace: "other", LatestStart: 3000, Target: 6000})
+	q.Wake()
+	for _, w := range storm {
+		w.Leave()
+		w.Leave()
+	}
+	select {
+	case <-other.C:
+	default:
+		t.Error("the request behind the storm isn't told to try")
+	}
+	later := q.Join(queuer.Request{Priority: 2, Workspace: "storm", LatestStart: 2900, Target: 6000})
+	back := q.Join(queuer.Request{Priority: 1, Workspace: "storm", LatestStart: 5000, Target: 2000})
+	rival := q.Join(queuer.Request{Priority: 1, Workspace: "rival", LatestStart: 5100, Target: 2000})
+	for i, w := range []*queuer.Waiter{back, rival, later, other} {
+		if !w.IsFirst() {
+			t.Fatalf("request %d is not the next one; the workspace is still put back for callers that are gone", i)
+		}
+		w.Leave()
+	}
+	if q.Len() != 0 {
+		t.Errorf("%d requests are left in the queue", q.Len())
+	}
+}
