--- a/internal/standin/wire/conn.go
+++ b/internal/standin/wire/conn.go
@@ -69,6 +69,7 @@
 	chunks                      []chunk
 	bytes                       int
 	closed, silent              bool
+	heldUntil                   time.Time // when the bytes that are kept back arrive
 	readDeadline, writeDeadline time.Time
 }
 
@@ -127,12 +128,12 @@
 			return len(p), nil
 		case !h.writeDeadline.IsZero() && !time.Now().Before(h.writeDeadline):
 			return 0, os.ErrDeadlineExceeded
-		case !h.silent && h.bytes < bufferBytes:
-			at := time.Now().Add(h.latency)
+		case !h.silent && h.bytes < bufferBytes && (!time.Now().Before(h.heldUntil) || h.bytes+len(p) <= bufferBytes):
+			at := time.Now().Add(max(h.latency, time.Until(h.heldUntil)))
 			h.chunks = append(h.chunks, chunk{data: append([]byte(nil), p...), at: at})
 			h.bytes += len(p)
 			h.changed.Broadcast()
-			if h.latency > 0 {
+			if at.After(time.Now()) {
 				h.wakeAt(at)
 			}
 			return len(p), nil
@@ -150,6 +151,19 @@
 	h.changed.Broadcast()
 }
 
+// hold keeps back what is under way and what follows until the given time.
+func (h *half) hold(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heldUntil = until
+	for i := range h.chunks {
+		if at := h.chunks[i].at; at.After(time.Now()) && at.Before(until) {
+			h.chunks[i].at = until
+		}
+	}
+	h.wakeAt(until)
+}
+
 // close ends the direction. Over a silent one the other end does not hear of it, but
 // this simple network lets it end so that nothing waits for ever after a test.
 func (h *half) close() {
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -31,6 +31,8 @@
 	links     []*link
 	parted    func(from, to string) bool
 	refused   func(from, to string) bool
+	held      func(from, to string) bool
+	heldUntil time.Time
 }
 
 // link is one open connection.
@@ -64,16 +66,19 @@
 	l := n.listeners[address]
 	parted := n.partedLocked(host, address)
 	refused := n.refused != nil && n.refused(host, address)
+	wait := time.Duration(0)
+	if n.held != nil && n.held(host, address) {
+		wait = time.Until(n.heldUntil)
+	}
 	n.mu.Unlock()
+	if err := pause(ctx, wait); err != nil {
+		return nil, err
+	}
 	if parted {
-		timer := time.NewTimer(dialPatience)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-timer.C:
-			return nil, errSilent
+		if err := pause(ctx, dialPatience); err != nil {
+			return nil, err
 		}
+		return nil, errSilent
 	}
 	if l == nil || refused {
 		return nil, errRefused
@@ -90,6 +95,18 @@
 	return near, nil
 }
 
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
 func (n *Network) partedLocked(from, to string) bool { return n.parted != nil && n.parted(from, to) }
 
 // Part makes all open and new connections for which parted is true silent: bytes
@@ -132,6 +149,20 @@
 	n.silenceLocked(chosen)
 }
 
+// Hold keeps back the bytes on all open and new connections for which chosen is true, and dials, until d has
+// passed: an end or a path falls silent and goes on.
+func (n *Network) Hold(d time.Duration, chosen func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held, n.heldUntil = chosen, time.Now().Add(d)
+	for _, l := range n.links {
+		if chosen(l.from, l.to) {
+			l.ends[0].out.hold(n.heldUntil)
+			l.ends[1].out.hold(n.heldUntil)
+		}
+	}
+}
+
 func (n *Network) silenceLocked(chosen func(from, to string) bool) {
 	for _, l := range n.links {
 		if chosen(l.from, l.to) {
