--- a/internal/machine/host/scaling.go
+++ b/internal/machine/host/scaling.go
@@ -11,6 +11,7 @@
 	"example.com/dotterelwell/internal/link/gossiper"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/internal/machine/roster"
 	"example.com/dotterelwell/platform"
 )
 
@@ -45,26 +46,58 @@
 	}
 }
 
-// demandFor returns the demand for servers that a message to a peer carries. In a small fleet all
-// instances tell theirs to whom they talk. In a large one they tell it to those that they call in their
-// zone, among them its watcher, which tells the zone's to watchers of other zones, and all to the holder.
+// demandFor returns the demand for servers that a message to a peer carries.
 func (h *Host) demandFor(peer gossiper.Peer, asked bool) (own *demander.Report, zones map[declaration.ZoneName]demander.Report) {
-	d := h.duties.demander
-	large, sameZone := h.Gossiper.InLargeFleet(), peer.Zone == h.Profile.Zone
-	if !large || !asked && sameZone {
-		own = d.Own()
+	claim, _ := h.duties.leasers[duty.Scaling].Claim()
+	large := h.Gossiper.InLargeFleet()
+	tells := chooseDemand(demandTold{
+		large: large, watches: large && h.Gossiper.Watches(h.Gossiper.WatchedKind), asked: asked,
+		sameZone: peer.Zone == h.Profile.Zone, toHolder: peer.Instance == claim.Holder,
+	})
+	if tells.own {
+		own = h.duties.demander.Own()
 	}
-	if !large || !h.Gossiper.Watches(h.Gossiper.WatchedKind) {
-		return own, nil
+	switch tells.zones {
+	case zonesAll:
+		zones = h.duties.demander.Zones(h.inZone())
+	case zonesOwn:
+		zones = h.duties.demander.OwnZone(h.inZone())
 	}
-	claim, _ := h.duties.leasers[duty.Scaling].Claim()
+	return own, zones
+}
+
+// demandTold describes a message: whether the fleet is large, this instance watches its zone, the peer
+// asked, and who the peer is.
+type demandTold struct{ large, watches, asked, sameZone, toHolder bool }
+
+// zoneScope tells of which zones a message carries the sums.
+type zoneScope int
+
+const (
+	zonesNone zoneScope = iota
+	zonesOwn
+	zonesAll
+)
+
+// demandChoice tells what a message carries.
+type demandChoice struct {
+	own   bool
+	zones zoneScope
+}
+
+// chooseDemand returns what a message carries. In a small fleet all instances tell theirs to whom they
+// talk. In a large one they tell it to those that they call in their zone, among them its watcher, which
+// tells the zone's to watchers of other zones, and all to the holder.
+func chooseDemand(m demandTold) demandChoice {
+	choice := demandChoice{own: !m.large || !m.asked && m.sameZone}
 	switch {
-	case peer.Instance == claim.Holder:
-		zones = d.Zones(h.inZone())
-	case !sameZone:
-		zones = d.OwnZone(h.inZone())
+	case !m.large || !m.watches:
+	case m.toHolder:
+		choice.zones = zonesAll
+	case !m.sameZone:
+		choice.zones = zonesOwn
 	}
-	return own, zones
+	return choice
 }
 
 // inZone returns a function that reports whether an instance is in this one's zone.
@@ -105,26 +138,30 @@
 	var states []scaler.State
 	for _, name := range h.scaledServices() {
 		order, ordered := view.Rollouts[name]
-		perSecond := float64(clock.Second) / float64(demander.Window)
-		state := scaler.State{
-			Now: h.Clock.Now(), Service: view.Config.Services[name], Target: shortestTarget(view.Config, name),
-			RolloutOpen: ordered && order.Outcome == backend.OutcomeOpen,
-			Demand: scaler.Demand{
-				Work: float64(total.Services[name].Work) * perSecond, Requests: float64(total.Services[name].Requests) * perSecond, Whole: whole,
-			},
-			Zones: map[declaration.ZoneName]scaler.Servers{},
-		}
-		for zone, c := range h.Roster.Census(name) {
-			state.Zones[zone] = scaler.Servers{Present: c.Present, OtherSide: c.OtherSide, Ready: c.Ready, Cold: c.Cold, Evacuated: view.EvacuatedZones[zone]}
-			state.Mixed = state.Mixed || c.Mixed
-			state.Demand.Busy += c.Busy
-			state.Demand.Backlog += float64(c.Backlog)
-		}
+		state := scalingState(total.Services[name], h.Roster.Census(name), view.EvacuatedZones)
+		state.Now, state.Service, state.Target = h.Clock.Now(), view.Config.Services[name], shortestTarget(view.Config, name)
+		state.RolloutOpen, state.Demand.Whole = ordered && order.Outcome == backend.OutcomeOpen, whole
 		states = append(states, state)
 	}
 	return states, true
 }
 
+// scalingState returns the demand for a service and its servers in each zone.
+func scalingState(demand demander.Demand, census map[declaration.ZoneName]roster.Census, evacuated map[declaration.ZoneName]bool) scaler.State {
+	perSecond := float64(clock.Second) / float64(demander.Window)
+	state := scaler.State{
+		Demand: scaler.Demand{Work: float64(demand.Work) * perSecond, Requests: float64(demand.Requests) * perSecond},
+		Zones:  map[declaration.ZoneName]scaler.Servers{},
+	}
+	for zone, c := range census {
+		state.Zones[zone] = scaler.Servers{Present: c.Present, OtherSide: c.OtherSide, Ready: c.Ready, Cold: c.Cold, Evacuated: evacuated[zone]}
+		state.Mixed = state.Mixed || c.Mixed
+		state.Demand.Busy += c.Busy
+		state.Demand.Backlog += float64(c.Backlog)
+	}
+	return state
+}
+
 // shortestTarget returns the shortest first-byte target among the routes to a service, or 0.
 func shortestTarget(config *routing.Config, service declaration.ServiceName) clock.Millis {
 	shortest := clock.Millis(0)
