Stager: the age of a late order doesn't drift with messages

The earliest time wins now and stays. Only an instance that read the order from the store itself claims an age: another may hear of it late without it having been unread.

TestOrderReadLate sends with a delay of 20 ms and is red with the latest time (18340 ms, want 15800 to 16667).

--- a/internal/version/stager/elapsed.go
+++ b/internal/version/stager/elapsed.go
@@ -45,8 +45,9 @@
 	return min(canaryUntil+faster*(elapsed-canaryUntil), elapsed+unread)
 }
 
-// mergeStart merges what another instance knows of the time of the order. An instance that read the
-// order long after the first one doesn't know how long it had been unread. The lock must be held.
+// mergeStart merges what another instance knows of the time of the order: the earliest times, which
+// don't move with the delays of messages. An instance that read the order long after the first one
+// doesn't know how long it had been unread. The lock must be held.
 func (s *Stager) mergeStart(state *rollout, received Stage) {
 	now := s.Clock.Now()
 	start := now - received.Elapsed
@@ -54,7 +55,10 @@
 		state.placedAfter = 0
 	}
 	if received.MaxAge > 0 && start <= state.startedAt+readSpread {
-		state.placedAfter = max(state.placedAfter, now-received.MaxAge)
+		placedAfter := now - received.MaxAge
+		if state.placedAfter == 0 || placedAfter < state.placedAfter {
+			state.placedAfter = placedAfter
+		}
 	}
 	state.startedAt = min(state.startedAt, start)
 }
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -59,6 +59,8 @@
 	Age clock.Millis
 	// Kept holds what another instance keeps although the store, restored from a copy, differs.
 	Kept []Kept
+
+	fetched bool // from the store
 }
 
 // Informer keeps the copy of one kind of objects. Set the exported fields before use.
@@ -213,7 +215,7 @@
 		wait = 0
 	}
 	changes, err := i.Store.List(ctx, i.Kind, position, wait)
-	return Update{Kind: i.Kind, Changes: changes, From: position, Whole: position == 0}, err
+	return Update{Kind: i.Kind, Changes: changes, From: position, Whole: position == 0, fetched: true}, err
 }
 
 func (i *Informer) pullFromPeers(ctx context.Context) {
@@ -262,7 +264,7 @@
 	if err != nil {
 		return err
 	}
-	i.Apply(Update{Kind: i.Kind, Changes: changes, Whole: true})
+	i.Apply(Update{Kind: i.Kind, Changes: changes, Whole: true, fetched: true})
 	return nil
 }
 
--- a/internal/zone/informer/merge.go
+++ b/internal/zone/informer/merge.go
@@ -43,7 +43,7 @@
 	if u.Version < i.position || !u.Whole && u.From > i.position {
 		return nil // older than the copy, or changes between the copy and the update are missing
 	}
-	since := i.lastReadBeforeFailure()
+	since := i.lastReadBeforeFailure(u)
 	i.setConfirmed(i.Clock.Now() - u.Age)
 	var changed []storer.Object
 	if u.Version > i.position {
--- a/internal/zone/informer/unread.go
+++ b/internal/zone/informer/unread.go
@@ -5,9 +5,9 @@
 	"example.com/dotterelwell/internal/machine/clock"
 )
 
-// UnreadSince returns the time after which the present state of an object was written, if calls to
-// the store failed between that time and the time at which this instance learned of the state. It
-// returns zero if no call failed, or if nothing is known of the time before.
+// UnreadSince returns the time after which the present state of an object was written, if this
+// instance read it from the store after calls that failed. It returns zero for a state that was read
+// at once or came from another instance, which may have read it earlier.
 func (i *Informer) UnreadSince(name string) clock.Millis {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -21,10 +21,10 @@
 	i.failedAt = i.Clock.Now()
 }
 
-// lastReadBeforeFailure returns when the copy was last confirmed if a call to the store has failed
-// since, and zero otherwise. The lock must be held.
-func (i *Informer) lastReadBeforeFailure() clock.Millis {
-	if i.failedAt < i.confirmedAt {
+// lastReadBeforeFailure returns when the copy was last confirmed if the update is the store's answer
+// after failed calls, and zero otherwise. The lock must be held.
+func (i *Informer) lastReadBeforeFailure(u Update) clock.Millis {
+	if !u.fetched || i.failedAt < i.confirmedAt {
 		return 0
 	}
 	return i.confirmedAt
