--- a/internal/load/assessor/assessor.go
+++ b/internal/load/assessor/assessor.go
@@ -52,11 +52,13 @@
 }
 
 // Left returns the time against which another answer of a request is weighed, of which left is to its target: no more than
-// the work that the request may find before it at a server (Room). The server time that it takes is taken from urgent requests.
-func (a Assessor) Left(priority int, left clock.Millis) clock.Millis {
+// an urgent target in calm, and down to the work that the request may find before it at a server (Room) while most requests
+// wait as long as that. The server time that the answer takes is taken from urgent requests.
+func (a Assessor) Left(priority int, left clock.Millis, waited float64) clock.Millis {
 	for _, rank := range a.ranks {
 		if rank.Priority < priority && rank.Target > 0 {
-			left = min(left, rank.Target/roomDivisor)
+			full := min(roomDivisor*waited/float64(rank.Target), 1)
+			left = min(left, clock.Millis(float64(rank.Target)/(1+(roomDivisor-1)*full)))
 		}
 	}
 	return left
