Informer: a failed call for one kind makes the others count as unread

Cause: in a trial with a silent store from 1.0 to 4.0 s the order of 2.0 s was read at 4.86 s by an instance that had just begun to watch roll-outs: its own call had not failed, those for servers and the configuration had, and the roll-out was completed at 26.09 s. RestartWatch, which tells the other kinds of that, records the failure now.

TestUnreadSince has a case for it; red without the line.

--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -124,7 +124,7 @@
 	// newer version existed.
 	confirmedAt   clock.Millis
 	outageEndedAt clock.Millis
-	// failedAt is when a call to the store last failed or was restarted; zero for never.
+	// failedAt is when a call to the store, for any kind of objects, last failed; zero for never.
 	failedAt clock.Millis
 	// unreadSince is the result of UnreadSince for each object that may have been read late.
 	unreadSince map[string]clock.Millis
@@ -146,7 +146,6 @@
 			return nil
 		}
 		if err != nil && restarted {
-			i.recordFailure()
 			continue
 		}
 		i.RecordStoreCall(err)
@@ -182,7 +181,10 @@
 // RestartWatch cancels the watch in progress and starts another from the same version,
 // unless the watch has just begun. The new call fails with storer.KindExpired if the store
 // has dropped the history after that version; a watch in progress would not notice.
-func (i *Informer) RestartWatch() { i.call.restart(i.Clock.Now()) }
+func (i *Informer) RestartWatch() {
+	i.recordFailure()
+	i.call.restart(i.Clock.Now())
+}
 
 // shouldCallStore reports whether this instance should list or watch the store now.
 func (i *Informer) shouldCallStore() bool {
--- a/internal/zone/informer/unread_test.go
+++ b/internal/zone/informer/unread_test.go
@@ -23,15 +23,17 @@
 	for _, tt := range []struct {
 		name     string
 		failure  error // of the call before
+		restart  bool  // because a call for another kind has failed
 		fromPeer bool
 		want     clock.Millis
 	}{
-		{"first copy", nil, false, 0},
-		{"read at once", nil, false, 0},
-		{"placed in an outage", fault.Newf("watch", storer.KindUnavailable, "reset"), false, 2000},
-		{"read at once", nil, false, 0},
-		{"placed before the history was dropped", fault.Newf("watch", storer.KindExpired, "history dropped"), false, 3000},
-		{"read by a peer", fault.Newf("watch", storer.KindUnavailable, "reset"), true, 0},
+		{"first copy", nil, false, false, 0},
+		{"read at once", nil, false, false, 0},
+		{"placed in an outage", fault.Newf("watch", storer.KindUnavailable, "reset"), false, false, 2000},
+		{"read at once", nil, false, false, 0},
+		{"placed before the history was dropped", fault.Newf("watch", storer.KindExpired, "history dropped"), false, false, 3000},
+		{"placed while calls for another kind failed", nil, true, false, 3500},
+		{"read by a peer", fault.Newf("watch", storer.KindUnavailable, "reset"), false, true, 0},
 	} {
 		now += 200
 		h.write(tt.name, false)
@@ -39,6 +41,9 @@
 			_ = i.Relist(context.Background())
 			failure = nil
 		}
+		if tt.restart {
+			i.RestartWatch()
+		}
 		now += 300
 		if tt.fromPeer {
 			i.Apply(h.fullList(h.newest()))
