--- a/internal/machine/host/gates.go
+++ b/internal/machine/host/gates.go
@@ -17,7 +17,7 @@
 	connectionPart = 1.0 / 4
 	// messagePart is the part of the memory that messages of peers may take while they are received.
 	messagePart = 1.0 / 8
-	// Parts of the descriptors for connections that connections of callers, peers, the balancer and operators may take. The
+	// Parts of the sockets that connections of callers, peers, the balancer and operators may take. The
 	// rest is for connections to servers, of which each request takes one, and to the store.
 	callerDescriptors   = 3.0 / 8
 	peerDescriptors     = 1.0 / 8
