--- a/internal/load/assessor/assessor.go
+++ b/internal/load/assessor/assessor.go
@@ -52,14 +52,17 @@
 }
 
 // Left returns the time against which another answer of a request is weighed, of which left is to its target: no more than
-// the work that the request may find before it at a server (Room). The server time that it takes is taken from urgent requests.
-func (a Assessor) Left(priority int, left clock.Millis) clock.Millis {
-	for _, rank := range a.ranks {
-		if rank.Priority < priority && rank.Target > 0 {
-			left = min(left, rank.Target/roomDivisor)
-		}
+// the target of a more urgent route, and no more than the request's room once the servers' waits take half of it. The server
+// time that it takes is taken from urgent requests.
+func (a Assessor) Left(priority int, left clock.Millis, waited float64) clock.Millis {
+	room := a.Room(priority)
+	switch {
+	case room == 0:
+		return left
+	case 2*waited >= float64(room):
+		return min(left, room)
 	}
-	return left
+	return min(left, roomDivisor*room)
 }
 
 // LatestStart returns the last moment to be sent with which a request that arrived at the given time is expected to
--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -169,13 +169,14 @@
 		return false, detail + ", no server"
 	}
 	now := x.Clock.Now()
-	wait = max(wait, x.waits.Wait(x.service, now))
+	waited := x.waits.Wait(x.service, now)
+	wait = max(wait, waited)
 	if now+clock.Millis(wait+work)+x.decodeTime(larger) > x.deadline {
 		return false, detail + ", no time" // the larger model can't finish before the deadline
 	}
 	left := x.req.ArrivedAt + x.route.FirstByteTarget - now
 	if held := x.ranking(); held != nil {
-		left = held.assessor.Left(x.priority(), left)
+		left = held.assessor.Left(x.priority(), left, waited)
 	}
 	pressure := cascader.Pressure(wait, work, left)
 	detail += " of " + strconv.Itoa(int(x.Cascader.ConfidenceThreshold(pressure)))
