--- a/internal/load/assessor/assessor_test.go
+++ b/internal/load/assessor/assessor_test.go
@@ -97,6 +97,7 @@
 	}{
 		{"report in the jump", 2, 400, 5800, false},
 		{"report in calm", 2, 0, 5800, true},
+		{"report among few requests", 2, 120, 5800, true},
 		{"urgent digest in the jump", 0, 400, 1800, true},
 	} {
 		pressure := cascader.Pressure(tt.waited, 300, a.Left(tt.priority, tt.left, tt.waited))
