--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -95,8 +95,12 @@
 	return near, nil
 }
 
-// pause waits for a time or until ctx ends.
+// pause waits for a time or until ctx ends. Without a time it leaves the channel of ctx alone, which would belong to the
+// bubble of the test (testing/synctest) that looks at it first.
 func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
