--- a/review/lab2/slow_reader.go
+++ b/review/lab2/slow_reader.go
@@ -81,7 +81,7 @@
 	time.Sleep(300 * time.Millisecond)
 	results := make(chan string, slowClients)
 	for n := range slowClients {
-		go func() { results <- l.readStream(target, n) }()
+		go func() { results <- l.readDraft(target, n, slowDialer(), eventsOut, readPause) }()
 	}
 	for range slowClients {
 		if result := <-results; result != "" {
@@ -92,11 +92,11 @@
 	return nil
 }
 
-// readStream sends one request and reads its answer, with pauses if there is trouble. It returns what is wrong with
-// the answer, or "".
-func (l *lab) readStream(target *instance, n int) string {
+// readDraft sends one request and reads its answer of so many events, with a pause after the first one if there is
+// trouble. It returns what is wrong with the answer, or "".
+func (l *lab) readDraft(target *instance, n int, dialer *net.Dialer, events int, pause time.Duration) string {
 	q := draft(fmt.Sprintf("attempt-%04d", n), n)
-	k, err := dial(target.front(), slowDialer())
+	k, err := dial(target.front(), dialer)
 	if err != nil {
 		return err.Error()
 	}
@@ -124,19 +124,19 @@
 			return fmt.Sprintf("%s: event %d after %d", q.id, at, last)
 		}
 		last = at
-		if l.trouble && last == 1 {
+		if l.trouble && pause > 0 && last == 1 {
 			l.record.add("client: %s stops reading after event %d", q.id, last)
-			time.Sleep(readPause)
+			time.Sleep(pause)
 			l.record.add("client: %s reads on", q.id)
 		}
 	}
 	took := time.Since(sent)
-	if err := lines.Err(); err != nil || last < eventsOut {
+	if err := lines.Err(); err != nil || last < events {
 		if errors.Is(err, net.ErrClosed) || took > routeTimeMs*time.Millisecond {
 			l.record.add("client: %s ends at its deadline, after event %d", q.id, last)
 			return ""
 		}
-		return fmt.Sprintf("%s: broken off after event %d of %d, %.1f s after it was sent: %v", q.id, last, eventsOut, took.Seconds(), err)
+		return fmt.Sprintf("%s: broken off after event %d of %d, %.1f s after it was sent: %v", q.id, last, events, took.Seconds(), err)
 	}
 	l.record.add("client: %s is complete after %.1f s", q.id, took.Seconds())
 	return ""
