Informer: log who watches the store, and changes that are read late

The logs could not tell whether a change is late because a watcher is replaced too late or because the calls of those that take over hang. New: four lines and the gauge store_copy_age_seconds. No change of behaviour.

--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -164,6 +164,7 @@
 		},
 		OnFreed: func() { h.Runner.WakeWaiters() },
 	}
+	h.Meter.Gauge("store_copy_age_seconds", "Time since the store confirmed the oldest of this instance's copies of its objects.", func() float64 { return h.oldestCopyAge().Duration().Seconds() })
 	h.Stager = &stager.Stager{
 		Clock: h.Clock, ViewFunc: h.Curator.View, Tallier: h.tallier,
 		ExposureShare: h.Profile.Bounds.ExposureShare, SessionGap: h.Profile.Bounds.SessionGap,
@@ -175,6 +176,17 @@
 	}
 }
 
+// oldestCopyAge returns the time since the store confirmed the oldest of the copies.
+func (h *Host) oldestCopyAge() clock.Millis {
+	oldest := clock.Millis(0)
+	for _, i := range h.informers {
+		if i.Loaded() {
+			oldest = max(oldest, i.Age())
+		}
+	}
+	return oldest
+}
+
 // refreshInstances takes in the list of instances, and asks some of them for their news
 // when it is the first.
 func (h *Host) refreshInstances() {
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -101,6 +101,7 @@
 
 	startedAt    clock.Millis // accessed only by Run
 	storeRetryAt clock.Millis // when an unreachable store is retried; accessed only by Run
+	watches      bool         // the last result of ShouldWatchFunc; accessed only by Run
 	call         storeCall
 
 	applyMu  sync.Mutex // held while a change is merged and OnChange is called; acquired before mu
@@ -146,6 +147,7 @@
 			return nil
 		}
 		if err != nil && restarted {
+			klog.InfoS("Call of the store is restarted", "kind", i.Kind, "age-ms", i.Age())
 			continue
 		}
 		i.RecordStoreCall(err)
@@ -188,15 +190,24 @@
 
 // shouldCallStore reports whether this instance should list or watch the store now.
 func (i *Informer) shouldCallStore() bool {
+	watches := i.ShouldWatchFunc == nil || i.ShouldWatchFunc()
+	if watches != i.watches {
+		i.watches = watches
+		klog.InfoS("Store is watched by this instance", "kind", i.Kind, "watches", watches, "age-ms", i.Age())
+	}
 	switch {
-	case i.ShouldWatchFunc == nil, i.ShouldWatchFunc():
+	case watches:
 		return true
 	case i.Position() == 0:
 		return i.Clock.Now()-i.startedAt >= i.InitialSyncWait
 	case i.StoreLost():
 		return i.Clock.Now() >= i.storeRetryAt
 	}
-	return i.Age() > i.watchWait()+staleMargin
+	if age := i.Age(); age > i.watchWait()+staleMargin {
+		klog.InfoS("Copy is not confirmed, asking the store", "kind", i.Kind, "age-ms", age)
+		return true
+	}
+	return false
 }
 
 func (i *Informer) watchWait() clock.Millis {
--- a/internal/zone/informer/merge.go
+++ b/internal/zone/informer/merge.go
@@ -1,6 +1,8 @@
 package informer
 
 import (
+	"k8s.io/klog/v2"
+
 	"example.com/dotterelwell/internal/contract/storer"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
@@ -12,13 +14,21 @@
 	objects  []storer.Object
 }
 
+// lateMargin is how much longer than the wait of a watch a copy is unconfirmed if the watches or the
+// exchange between instances are disturbed.
+const lateMargin = 1 * clock.Second
+
 // Apply merges changes from the store or from another instance into the copy. An update
 // has no effect if it is older than the copy, or if it lacks changes that follow the
 // copy's position.
 func (i *Informer) Apply(u Update) {
 	i.applyMu.Lock()
 	defer i.applyMu.Unlock()
+	age := i.Age()
 	changed := i.merge(u)
+	if len(changed) > 0 && i.Loaded() && age > i.watchWait()+lateMargin {
+		klog.InfoS("Changes are read late", "kind", i.Kind, "objects", len(changed), "unconfirmed-ms", age, "from-store", u.fetched)
+	}
 	if len(changed) > 0 && i.OnChange != nil {
 		i.OnChange(changed)
 	}
