Store: connections are kept for a second without a call

What callers saw: as before, changes late after connections to the store had fallen silent. Watches keep their connections, since they are never idle for long.

--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -72,6 +72,9 @@
 	// storeConnections bounds the idle connections to the store: one for each kind of object
 	// that is watched, and some for other calls.
 	storeConnections = 8
+	// storeIdleTime bounds how long a connection to the store is kept without a call. One that falls silent while it is idle
+	// makes the next call wait for its timeout.
+	storeIdleTime = 1 * clock.Second
 	// maxStoreHeader bounds the header of an answer of the store, in bytes.
 	maxStoreHeader = 64 << 10
 )
@@ -172,7 +175,7 @@
 // StoreClient returns the HTTP client for the store. dial opens connections.
 func StoreClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: storeConnections, MaxResponseHeaderBytes: maxStoreHeader, DisableCompression: true,
+		DialContext: dial, MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdleTime.Duration(), MaxResponseHeaderBytes: maxStoreHeader, DisableCompression: true,
 	}}
 }
 
