Informer: the loss of one kind makes the others probe the store at once

Cause: the first kind to be lost canceled the calls of the others, which began anew with their whole wait; the next loss canceled the rest again, so that the kinds were lost one a second, and peers replace a watcher of a kind only once that kind is lost. A canceled watch is now followed by a call that does not wait: it tells within the store's answer time whether the store is lost, and is never canceled itself, so that kinds can't restart one another for ever. Lists are not canceled any more.

--- a/internal/zone/informer/call.go
+++ b/internal/zone/informer/call.go
@@ -3,30 +3,24 @@
 import (
 	"context"
 	"sync"
-
-	"example.com/dotterelwell/internal/machine/clock"
 )
 
-// minRestartAge is the minimum age of a call that is restarted. A younger call began after
-// the event that asks for the restart, so it already sees the newer state of the store.
-const minRestartAge clock.Millis = 500
-
 // storeCall tracks the list or watch call to the store that is in progress. Another
 // goroutine can cancel the call so that its owner starts a new one.
 type storeCall struct {
 	mu        sync.Mutex
 	cancel    context.CancelFunc
-	began     clock.Millis
+	waits     bool // the store holds the call open until something changes
 	restarted bool
 }
 
 // begin returns the context of a new call, and a function that the caller must call when the
 // call has ended. The function reports whether restart canceled the call.
-func (c *storeCall) begin(ctx context.Context, now clock.Millis) (context.Context, func() (restarted bool)) {
+func (c *storeCall) begin(ctx context.Context, waits bool) (context.Context, func() (restarted bool)) {
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancel, c.began, c.restarted = cancel, now, false
+	c.cancel, c.waits, c.restarted = cancel, waits, false
 	return ctx, func() bool {
 		cancel()
 		c.mu.Lock()
@@ -36,18 +30,18 @@
 	}
 }
 
-// restart cancels the call in progress, if it is at least minRestartAge old.
-func (c *storeCall) restart(now clock.Millis) {
+// restart cancels the call in progress if the store holds it open. Other calls end soon by themselves, and instances that
+// restart one another's calls would never finish one.
+func (c *storeCall) restart() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancel == nil || now-c.began < minRestartAge {
-		return
+	if c.cancel != nil && c.waits {
+		c.restarted = true
+		c.cancel()
 	}
-	c.restarted = true
-	c.cancel()
 }
 
-// cancelNow cancels the call in progress, whatever its age.
+// cancelNow cancels the call in progress.
 func (c *storeCall) cancelNow() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -135,21 +135,28 @@
 func (i *Informer) Run(ctx context.Context) error {
 	i.startedAt = i.Clock.Now()
 	backoff := firstBackoff
+	probe := false
 	for ctx.Err() == nil {
 		if !i.shouldCallStore() {
 			_ = i.Clock.Sleep(ctx, ageCheckInterval) // the loop ends when ctx is done
 			continue
 		}
-		fetch, end := i.call.begin(ctx, i.Clock.Now())
-		update, err := i.fetch(fetch)
+		position, wait := i.Position(), i.watchWait()
+		if probe || position == 0 {
+			wait = 0
+		}
+		fetch, end := i.call.begin(ctx, wait > 0)
+		update, err := i.fetch(fetch, position, wait)
 		restarted := end()
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil && restarted {
 			klog.InfoS("Call of the store is restarted", "kind", i.Kind, "age-ms", i.Age())
+			probe = true // a call that waits tells only after its wait that the store is lost
 			continue
 		}
+		probe = false
 		i.RecordStoreCall(err)
 		if err != nil {
 			if storer.KindOf(err) == storer.KindExpired {
@@ -180,18 +187,18 @@
 	return nil
 }
 
-// RestartWatch cancels the watch in progress and starts another from the same version,
-// unless the watch has just begun. The new call fails with storer.KindExpired if the store
-// has dropped the history after that version; a watch in progress would not notice.
+// RestartWatch cancels the watch in progress and starts another from the same version, which does not wait for changes.
+// That call fails at once if the store is lost, and with storer.KindExpired if the store has dropped the history after that
+// version; a watch in progress would not notice.
 func (i *Informer) RestartWatch() {
 	i.recordFailure()
-	i.call.restart(i.Clock.Now())
+	i.call.restart()
 }
 
 // shouldCallStore reports whether this instance should list or watch the store now.
 func (i *Informer) shouldCallStore() bool {
 	watches := i.ShouldWatchFunc == nil || i.ShouldWatchFunc()
-	if watches != i.watches {
+	if watches != i.watches && i.Loaded() {
 		i.watches = watches
 		klog.InfoS("Store is watched by this instance", "kind", i.Kind, "watches", watches, "age-ms", i.Age())
 	}
@@ -217,16 +224,8 @@
 	return DefaultWatchWait
 }
 
-// fetch lists all objects if the informer has no position, and otherwise watches for
-// changes after it.
-func (i *Informer) fetch(ctx context.Context) (Update, error) {
-	i.mu.Lock()
-	position := i.position
-	i.mu.Unlock()
-	wait := i.watchWait()
-	if position == 0 {
-		wait = 0
-	}
+// fetch lists all objects if position is zero, and otherwise watches for changes after it.
+func (i *Informer) fetch(ctx context.Context, position ident.StoreVersion, wait clock.Millis) (Update, error) {
 	changes, err := i.Store.List(ctx, i.Kind, position, wait)
 	return Update{Kind: i.Kind, Changes: changes, From: position, Whole: position == 0, fetched: true}, err
 }
--- a/internal/zone/informer/informer_test.go
+++ b/internal/zone/informer/informer_test.go
@@ -353,3 +353,60 @@
 		t.Errorf("outage ended at %d, want %d", i.OutageEndedAt(), now)
 	}
 }
+
+// TestLossIsFoundByAllKinds guards against the kinds of objects being lost one after the other: each loss restarted the calls of
+// the others with their whole wait, so that another instance took over each kind a second later than the one before.
+func TestLossIsFoundByAllKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const kinds, timeoutMargin = 6, 400 * time.Millisecond
+		var silent atomic.Bool
+		var informers [kinds]*informer.Informer
+		store := &storer.Storer{ListFunc: func(ctx context.Context, _ storer.ObjectKind, since ident.StoreVersion, wait clock.Millis) (storer.Changes, error) {
+			begun := time.Now()
+			if since > 0 {
+				select {
+				case <-ctx.Done():
+				case <-time.After(wait.Duration()):
+				}
+			}
+			if silent.Load() {
+				select {
+				case <-ctx.Done():
+				case <-time.After(wait.Duration() + timeoutMargin - time.Since(begun)):
+				}
+				return storer.Changes{}, fault.Newf("watch", storer.KindUnavailable, "no answer")
+			}
+			return storer.Changes{Version: 1}, nil
+		}}
+		ctx, stop := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		var lostAt [kinds]time.Time
+		for n := range kinds {
+			informers[n] = &informer.Informer{
+				Clock: &clock.Clock{}, WatchWait: clock.Millis(700 + 600*n), Store: store,
+				OnStoreContact: func(_ storer.ObjectKind, err error) {
+					lostAt[n] = time.Now()
+					for other, i := range informers {
+						if other != n && err != nil {
+							i.RestartWatch()
+						}
+					}
+				},
+			}
+		}
+		for _, i := range informers {
+			running.Go(func() { _ = i.Run(ctx) }) // ends with ctx
+		}
+		time.Sleep(5 * time.Second)
+		silent.Store(true)
+		silentAt := time.Now()
+		time.Sleep(5 * time.Second)
+		stop()
+		running.Wait()
+		for n, at := range lostAt {
+			if took := at.Sub(silentAt); at.IsZero() || took > 700*time.Millisecond+2*timeoutMargin {
+				t.Errorf("kind %d is lost after %v", n, took)
+			}
+		}
+	})
+}
