Informer: a copy that is not confirmed is asked for in time

What callers saw: with the watchers of the store cut off, instances in touch acted on an old configuration for up to 2.7 s, where 2 s are allowed, and longer on Hafnarvik grown. Cause: the last resort, a call of one's own, came 2 s after the wait of a watch, and waited itself for another 0.7 s; by then the copy also counted as having been through an outage, so that servers that had left were kept. It now comes 1 s after that wait, and does not wait: peers confirm a copy within a round and its calls.

--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -22,9 +22,11 @@
 	// DefaultWatchWait is how long the store holds one watch call open while nothing changes.
 	// It bounds the time until a stalled watch is detected.
 	DefaultWatchWait = 8 * clock.Second
-	// staleMargin is how much longer than the wait of a watch the copy may stay unconfirmed
-	// before an instance that does not watch calls the store itself. It exceeds the
-	// timeout of a watch and two gossip rounds between instances.
+	// askMargin is how much longer than the wait of a watch the copy may stay unconfirmed before an
+	// instance that does not watch asks the store itself. It exceeds a gossip round between instances and
+	// the time of its calls.
+	askMargin = 1 * clock.Second
+	// staleMargin is how much longer than the wait of a watch a copy that counts as current may be unconfirmed.
 	staleMargin = 2 * clock.Second
 	// storeRetryDelay is the delay, plus up to half of it as jitter, before an instance that
 	// does not watch retries a store that it could not reach. Watching instances retry sooner
@@ -142,7 +144,7 @@
 			continue
 		}
 		position, wait := i.Position(), i.watchWait()
-		if probe || position == 0 {
+		if probe || !i.watches || position == 0 {
 			wait = 0
 		}
 		fetch, end := i.call.begin(ctx, wait > 0)
@@ -199,9 +201,9 @@
 func (i *Informer) shouldCallStore() bool {
 	watches := i.ShouldWatchFunc == nil || i.ShouldWatchFunc()
 	if watches != i.watches && i.Loaded() {
-		i.watches = watches
 		klog.InfoS("Store is watched by this instance", "kind", i.Kind, "watches", watches, "age-ms", i.Age())
 	}
+	i.watches = watches
 	switch {
 	case watches:
 		return true
@@ -210,7 +212,7 @@
 	case i.StoreLost():
 		return i.Clock.Now() >= i.storeRetryAt
 	}
-	if age := i.Age(); age > i.watchWait()+staleMargin {
+	if age := i.Age(); age > i.watchWait()+askMargin {
 		klog.InfoS("Copy is not confirmed, asking the store", "kind", i.Kind, "age-ms", age)
 		return true
 	}
