Gossiper: a call that hangs holds up no others

What callers saw: instances that came back from a cut acted on an old configuration for more than three seconds after it. Cause: connections to peers stay silent after a cut. A round waited for all its calls, so that the next began 0.8 s later than due, and no second pull of a kind of objects began until the first had ended, after 2 s.

--- a/internal/link/gossiper/gossiper.go
+++ b/internal/link/gossiper/gossiper.go
@@ -105,7 +105,7 @@
 	// lastFailedAt is the time of the last failed call to a peer, and failingSince that of the
 	// first failed call since the last successful one. A successful call deletes both.
 	lastFailedAt, failingSince map[ident.Instance]clock.Millis
-	pulling                    map[storer.ObjectKind]bool
+	pullBegan                  map[storer.ObjectKind]clock.Millis            // of the newest pull in progress
 	storeLost                  map[ident.Instance]map[storer.ObjectKind]bool // kinds that peers cannot read from the store
 	round                      atomic.Int64
 }
@@ -117,18 +117,21 @@
 	serial      uint64
 }
 
-// Run exchanges messages once per round until ctx ends.
+// Run exchanges messages once per round until ctx ends. A round does not wait for the calls of the one before, which may hang
+// until their timeout.
 func (g *Gossiper) Run(ctx context.Context) error {
 	round := g.RoundInterval
 	if round <= 0 {
 		round = DefaultRoundInterval
 	}
+	var rounds sync.WaitGroup
+	defer rounds.Wait()
 	for {
 		jitter := clock.Millis(rand.Int64N(int64(round)/4 + 1))
 		if err := g.Clock.Sleep(ctx, round+jitter); err != nil {
 			return nil
 		}
-		g.Exchange(ctx)
+		rounds.Go(func() { g.Exchange(ctx) })
 	}
 }
 
--- a/internal/link/gossiper/pull.go
+++ b/internal/link/gossiper/pull.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"example.com/dotterelwell/internal/contract/storer"
+	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/zone/informer"
 )
@@ -46,10 +47,11 @@
 const pullPeers = 3
 
 func (g *Gossiper) pullFrom(ctx context.Context, p Peer, i *informer.Informer) {
-	if !g.startPull(i.Kind) {
-		return // a pull of the same kind is in progress
+	finish, started := g.startPull(i.Kind)
+	if !started {
+		return
 	}
-	defer g.finishPull(i.Kind)
+	defer finish()
 	if update, found := g.pullOnce(ctx, p, i.Kind, i.Point()); found {
 		i.Apply(update)
 	}
@@ -68,21 +70,24 @@
 	return reply.Update, reply.Found
 }
 
-func (g *Gossiper) startPull(kind storer.ObjectKind) bool {
+// startPull reports whether a pull may begin, and returns a function to call at its end. None may while another of the same kind
+// is in progress, unless that has taken as long as a call without objects may take: its connection may have fallen silent.
+func (g *Gossiper) startPull(kind storer.ObjectKind) (finish func(), started bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.pulling[kind] {
-		return false
+	now := g.Clock.Now()
+	if began, found := g.pullBegan[kind]; found && now-began < callTimeout {
+		return nil, false
 	}
-	if g.pulling == nil {
-		g.pulling = map[storer.ObjectKind]bool{}
+	if g.pullBegan == nil {
+		g.pullBegan = map[storer.ObjectKind]clock.Millis{}
 	}
-	g.pulling[kind] = true
-	return true
-}
-
-func (g *Gossiper) finishPull(kind storer.ObjectKind) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.pulling, kind)
+	g.pullBegan[kind] = now
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.pullBegan[kind] == now {
+			delete(g.pullBegan, kind)
+		}
+	}, true
 }
