Informer: an instance that hears of nobody retries the store sooner

What callers saw: an instance in touch whose peers had all been cut off acted on an old configuration for up to six seconds after a call to the store had failed. Cause: after a failed call an instance that does not watch waits 4 to 6 s, since the watchers pass on the recovery; with no peer in reach nobody does.

--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -35,6 +35,9 @@
 	// firstWait is how long a starting instance waits for the copies of others. They come
 	// with its first exchange.
 	firstWait clock.Millis = 1200
+	// aloneAfter is the time without a message from any peer after which an instance expects no news from peers. It exceeds two
+	// rounds of exchanges.
+	aloneAfter clock.Millis = 1500
 )
 
 func (h *Host) promptWait() clock.Millis {
@@ -46,6 +49,7 @@
 	i := &informer.Informer{
 		Clock: h.Clock, Store: h.Store, Kind: kind, WatchWait: wait, OnChange: apply, OnStoreContact: h.noteStore, InitialSyncWait: firstWait,
 		ShouldWatchFunc:  func() bool { return h.Enlister.Synced() && h.Gossiper.Watches(kind) },
+		AloneFunc:        func() bool { return !h.Gossiper.HeardWithin(aloneAfter) },
 		OnFetched:        func(storer.ObjectKind) { h.Gossiper.SendToNeighbours(context.Background()) },
 		OnHistoryExpired: h.restartWatches,
 		OnRestored:       h.noteRestored,
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -32,6 +32,8 @@
 	// does not watch retries a store that it could not reach. Watching instances retry sooner
 	// and pass the recovery on.
 	storeRetryDelay = 4 * clock.Second
+	// aloneRetryDelay is the same while no other instance is heard of, which could pass on the recovery.
+	aloneRetryDelay clock.Millis = 500
 	// ageCheckInterval is how often an instance that does not watch checks the age of its copy.
 	ageCheckInterval clock.Millis = 100
 	// batchDelay is the delay before the next watch after a change, so that a burst of
@@ -79,6 +81,8 @@
 	// Instances that do not watch pull changes from those that do, and call the store
 	// only when their copy is stale. Nil means that this instance watches.
 	ShouldWatchFunc func() bool
+	// AloneFunc, when set, reports whether no other instance has been heard of lately.
+	AloneFunc func() bool
 	// OnFetched, when set, is called after a call to the store, rather than a peer, returned changes.
 	OnFetched func(kind storer.ObjectKind)
 	// OnChange, when set, receives the objects that changed, in the order of their
@@ -103,6 +107,7 @@
 
 	startedAt    clock.Millis // accessed only by Run
 	storeRetryAt clock.Millis // when an unreachable store is retried; accessed only by Run
+	aloneRetryAt clock.Millis // the same while no other instance is heard of; accessed only by Run
 	watches      bool         // the last result of ShouldWatchFunc; accessed only by Run
 	call         storeCall
 
@@ -168,6 +173,7 @@
 				}
 				continue
 			}
+			i.aloneRetryAt = i.Clock.Now() + aloneRetryDelay
 			i.storeRetryAt = i.Clock.Now() + storeRetryDelay + clock.Millis(rand.Int64N(int64(storeRetryDelay)/2))
 			i.pullFromPeers(ctx)
 			_ = i.Clock.Sleep(ctx, backoff/2+clock.Millis(rand.Int64N(int64(backoff)))) // the loop ends when ctx is done
@@ -210,7 +216,8 @@
 	case i.Position() == 0:
 		return i.Clock.Now()-i.startedAt >= i.InitialSyncWait
 	case i.StoreLost():
-		return i.Clock.Now() >= i.storeRetryAt
+		now := i.Clock.Now()
+		return now >= i.storeRetryAt || now >= i.aloneRetryAt && i.AloneFunc != nil && i.AloneFunc()
 	}
 	if age := i.Age(); age > i.watchWait()+askMargin {
 		klog.InfoS("Copy is not confirmed, asking the store", "kind", i.Kind, "age-ms", age)
