Informer: an expired history leaves the copy its position

What callers may see: for the time from the end of a watch with the history expired, or with a newer era, until the list, an instance took any peer's full copy, also an older one, in which servers that had left and zones that had been taken back were as before; and at a store whose history never reaches back to the list it called without a pause. Cause: the position was set to zero, as for an instance that knows nothing. The copy now keeps it and is marked as to be listed, until a list or a newer copy of a peer has been merged; repeated expirations back off.

--- a/internal/zone/informer/era.go
+++ b/internal/zone/informer/era.go
@@ -112,7 +112,7 @@
 	i.newestEra = max(i.newestEra, u.Era)
 	discovered := u.Era > i.era && !u.Whole
 	if discovered {
-		i.position, i.history, i.retained = 0, nil, 0
+		i.mustList = true
 	}
 	i.mu.Unlock()
 	if first {
@@ -131,7 +131,7 @@
 	stale := era > i.newestEra && era > i.era && i.loaded
 	i.newestEra = max(i.newestEra, era)
 	if stale && watches {
-		i.position, i.history, i.retained = 0, nil, 0
+		i.mustList = true
 	}
 	i.mu.Unlock()
 	if stale {
@@ -178,7 +178,7 @@
 		}
 	}
 	klog.InfoS("Objects of a restored store are taken over", "kind", i.Kind, "era", u.Era, "version", u.Version, "before-era", before.Era, "before-version", before.Version, "objects", len(u.Objects), "kept", len(i.kept), "changed", len(changed), "loaded", i.loaded)
-	i.position, i.loaded = u.Version, true
+	i.position, i.loaded, i.mustList = u.Version, true, false
 	return changed
 }
 
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -115,6 +115,8 @@
 	mu       sync.Mutex
 	objects  map[string]storer.Object
 	position ident.StoreVersion
+	// mustList is set while the store can't tell what changed since position.
+	mustList bool
 	// era is the era of position and of the copy; loaded is set when there has been a copy.
 	era    ident.StoreEra
 	loaded bool
@@ -142,13 +144,13 @@
 func (i *Informer) Run(ctx context.Context) error {
 	i.startedAt = i.Clock.Now()
 	backoff := firstBackoff
-	probe := false
+	probe, expirations := false, 0 // expirations counts those of the history since a watch succeeded
 	for ctx.Err() == nil {
 		if !i.shouldCallStore() {
 			_ = i.Clock.Sleep(ctx, ageCheckInterval) // the loop ends when ctx is done
 			continue
 		}
-		position, wait := i.Position(), i.watchWait()
+		position, wait := i.watchFrom(), i.watchWait()
 		if probe || !i.watches || position == 0 {
 			wait = 0
 		}
@@ -167,20 +169,28 @@
 		i.RecordStoreCall(err)
 		if err != nil {
 			if storer.KindOf(err) == storer.KindExpired {
-				i.resetPosition()
+				klog.InfoS("Store dropped the change history; relisting all objects", "kind", i.Kind, "position", position)
+				i.requireList()
 				if i.OnHistoryExpired != nil {
 					i.OnHistoryExpired(i.Kind)
 				}
+				if expirations++; expirations > 1 { // the history did not even reach back to the list
+					backoff = i.sleepBackoff(ctx, backoff)
+				}
 				continue
 			}
 			i.aloneRetryAt = i.Clock.Now() + aloneRetryDelay
 			i.storeRetryAt = i.Clock.Now() + storeRetryDelay + clock.Millis(rand.Int64N(int64(storeRetryDelay)/2))
 			i.pullFromPeers(ctx)
-			_ = i.Clock.Sleep(ctx, backoff/2+clock.Millis(rand.Int64N(int64(backoff)))) // the loop ends when ctx is done
-			backoff = min(2*backoff, maxBackoff)
+			backoff = i.sleepBackoff(ctx, backoff)
 			continue
 		}
-		backoff = firstBackoff
+		if position > 0 {
+			expirations = 0
+		}
+		if expirations == 0 {
+			backoff = firstBackoff
+		}
 		if i.discoversRestore(update) {
 			continue // the answer to a watch from an earlier era is not complete
 		}
@@ -195,6 +205,12 @@
 	return nil
 }
 
+// sleepBackoff waits for a backoff with jitter, and returns the next one.
+func (i *Informer) sleepBackoff(ctx context.Context, backoff clock.Millis) clock.Millis {
+	_ = i.Clock.Sleep(ctx, backoff/2+clock.Millis(rand.Int64N(int64(backoff)))) // the caller's loop ends when ctx is done
+	return min(2*backoff, maxBackoff)
+}
+
 // RestartWatch cancels the watch in progress and starts another from the same version, which does not wait for changes.
 // That call fails at once if the store is lost, and with storer.KindExpired if the store has dropped the history after that
 // version; a watch in progress would not notice.
@@ -307,12 +323,22 @@
 	}
 }
 
-// resetPosition makes the next call list all objects. The copy is kept until then.
-func (i *Informer) resetPosition() {
-	klog.InfoS("Store dropped the change history; relisting all objects", "kind", i.Kind, "position", i.Position())
+// requireList makes the next call list all objects. The copy and its position are kept until then: a copy without a
+// position would take older objects from a peer.
+func (i *Informer) requireList() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.position, i.history, i.retained = 0, nil, 0
+	i.mustList = true
+}
+
+// watchFrom returns the store version from which the next call watches, or zero if it lists all objects.
+func (i *Informer) watchFrom() ident.StoreVersion {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.mustList {
+		return 0
+	}
+	return i.position
 }
 
 // Position returns the store version up to which the copy is complete, or zero while there
--- a/internal/zone/informer/informer_test.go
+++ b/internal/zone/informer/informer_test.go
@@ -410,3 +410,74 @@
 		}
 	})
 }
+
+// TestNothingReturnsAfterExpiredHistory guards against objects that have been deleted coming back from a peer that is behind, while the
+// store has dropped its history and the list is not there yet.
+func TestNothingReturnsAfterExpiredHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &history{}
+		h.write("a", false)
+		h.write("b", false)
+		var expired atomic.Bool
+		i := &informer.Informer{
+			Clock: &clock.Clock{}, WatchWait: 100,
+			Store: &storer.Storer{ListFunc: func(ctx context.Context, _ storer.ObjectKind, since ident.StoreVersion, wait clock.Millis) (storer.Changes, error) {
+				switch {
+				case since == 0 && expired.Load():
+					<-ctx.Done() // the list takes long
+					return storer.Changes{}, fault.Newf("list", storer.KindUnavailable, "no answer")
+				case since == 0:
+					return h.fullList(h.newest()).Changes, nil
+				case expired.Load():
+					return storer.Changes{}, fault.Newf("watch", storer.KindExpired, "history is gone")
+				}
+				time.Sleep(wait.Duration())
+				return h.since(since, h.newest()).Changes, nil
+			}},
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { _ = i.Run(ctx); close(ended) }()
+		time.Sleep(150 * time.Millisecond)
+		older := h.fullList(h.newest())
+		h.write("a", true)
+		time.Sleep(200 * time.Millisecond)
+		before := i.Point()
+		expired.Store(true)
+		time.Sleep(200 * time.Millisecond)
+		i.Apply(older)
+		if _, found := i.Get("a"); found {
+			t.Error("an object that was deleted is back")
+		}
+		if at := i.Point(); at != before {
+			t.Errorf("the copy is at %v, after %v", at, before)
+		}
+		stop()
+		<-ended
+	})
+}
+
+// TestHistoryThatKeepsExpiring guards against a loop of lists and watches without a pause at a store whose history never reaches back to
+// the list.
+func TestHistoryThatKeepsExpiring(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		i := &informer.Informer{
+			Clock: &clock.Clock{}, WatchWait: 1000,
+			Store: &storer.Storer{ListFunc: func(_ context.Context, _ storer.ObjectKind, since ident.StoreVersion, _ clock.Millis) (storer.Changes, error) {
+				calls++
+				time.Sleep(4 * time.Millisecond)
+				if since > 0 {
+					return storer.Changes{}, fault.Newf("watch", storer.KindExpired, "history is gone")
+				}
+				return storer.Changes{Version: 5}, nil
+			}},
+		}
+		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+		defer stop()
+		_ = i.Run(ctx) // ends with ctx
+		if calls < 20 || calls > 100 {
+			t.Errorf("%d calls in 20 s", calls)
+		}
+	})
+}
--- a/internal/zone/informer/merge.go
+++ b/internal/zone/informer/merge.go
@@ -50,6 +50,9 @@
 		}
 		return append(i.enterEra(u), i.adoptKept(u)...)
 	}
+	if u.Whole && u.fetched {
+		i.mustList = false
+	}
 	if u.Version < i.position || !u.Whole && u.From > i.position {
 		return nil // older than the copy, or changes between the copy and the update are missing
 	}
@@ -82,7 +85,7 @@
 		changed = append(changed, i.removeUnlisted(listed, u.Version)...)
 	}
 	i.retain(u)
-	i.position, i.loaded = u.Version, true
+	i.position, i.loaded, i.mustList = u.Version, true, false
 	return changed
 }
 
