Host: a starting instance asks its peers before it acts on what the store lists

Cause: it knew no peers and listed all kinds from the restored copy before its first exchange. It now reads the list of instances first, asks some of them, and only then lists the other kinds itself, for 10 s at the longest. Without a copy it retries within 0.6 s, since fewer calls are made.

--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -111,6 +111,9 @@
 	accountant *accountant.Accountant
 	duties     duties
 	draining   atomic.Bool
+	startedAt  clock.Millis
+	// metPeers is set once the first peers on the list of instances have been asked for their news.
+	metPeers atomic.Bool
 	// stopFrom is when a stopping instance takes no more long requests, and stopAt when it
 	// cuts what still runs, in milliseconds; zero until it is told to stop.
 	stopFrom, stopAt atomic.Int64
@@ -154,6 +157,7 @@
 		budgets:   map[declaration.ServiceName]*retrier.Budget{},
 		peers:     map[ident.Instance]map[declaration.ServiceName]stager.Stage{},
 	}
+	h.startedAt = h.Clock.Now()
 	client := StoreClient(outside.DialFunc)
 	h.Store = platform.NewStorer(p.StoreAddress, client, storeTimeout)
 	h.tallier = &tallier.Tallier{Clock: h.Clock, Owner: ident.NewIncarnation(p.Instance, h.Clock.Now())}
--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -35,6 +35,8 @@
 	// firstWait is how long a starting instance waits for the copies of others. They come
 	// with its first exchange.
 	firstWait clock.Millis = 1200
+	// longestFirstWait bounds the wait of a starting instance for the list of instances, and for an exchange with some of them.
+	longestFirstWait = 10 * clock.Second
 	// aloneAfter is the time without a message from any peer after which an instance expects no news from peers. It exceeds two
 	// rounds of exchanges.
 	aloneAfter clock.Millis = 1500
@@ -47,7 +49,8 @@
 // inform makes the copy of a kind.
 func (h *Host) inform(kind storer.ObjectKind, wait clock.Millis, apply func([]storer.Object)) *informer.Informer {
 	i := &informer.Informer{
-		Clock: h.Clock, Store: h.Store, Kind: kind, WatchWait: wait, OnChange: apply, OnStoreContact: h.noteStore, InitialSyncWait: firstWait,
+		Clock: h.Clock, Store: h.Store, Kind: kind, WatchWait: wait, OnChange: apply, OnStoreContact: h.noteStore,
+		InitialSyncWait: firstWait, MayListFunc: h.mayList,
 		ShouldWatchFunc:  func() bool { return h.Enlister.Synced() && h.Gossiper.Watches(kind) },
 		AloneFunc:        func() bool { return !h.Gossiper.HeardWithin(aloneAfter) },
 		OnFetched:        func(storer.ObjectKind) { h.Gossiper.SendToNeighbours(context.Background()) },
@@ -146,7 +149,7 @@
 	servers := h.inform(platform.ServerKind, h.promptWait(), func(objects []storer.Object) { h.Roster.Apply(objects) })
 	servers.StateFunc = serverState
 	instances := h.inform(enlister.ObjectKind, patientWait, func([]storer.Object) { h.refreshInstances() })
-	instances.InitialSyncWait = 0
+	instances.InitialSyncWait, instances.MayListFunc = 0, nil
 	h.Enlister = &enlister.Enlister{
 		Clock: h.Clock, Store: h.Store, Informer: instances, Instance: h.Profile.Instance,
 		Entry: enlister.Entry{Address: h.Profile.PeerAddress(), Zone: h.Profile.Zone, Strength: h.Profile.Strength()},
@@ -197,6 +200,15 @@
 	first := len(h.Enlister.Peers()) == 0
 	h.Enlister.Refresh()
 	if first {
-		go h.Gossiper.Exchange(context.Background())
+		go func() {
+			h.Gossiper.Exchange(context.Background())
+			h.metPeers.Store(true)
+		}()
 	}
 }
+
+// mayList reports whether a starting instance may act on what the store lists. A store that has just been restored from a copy
+// holds earlier states; peers know which ones, so that they are asked first.
+func (h *Host) mayList() bool {
+	return h.metPeers.Load() || h.Clock.Now()-h.startedAt >= longestFirstWait
+}
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -36,12 +36,16 @@
 	aloneRetryDelay clock.Millis = 500
 	// ageCheckInterval is how often an instance that does not watch checks the age of its copy.
 	ageCheckInterval clock.Millis = 100
+	// firstCheckInterval is the same for an instance without a copy, which callers wait for.
+	firstCheckInterval clock.Millis = 10
 	// batchDelay is the delay before the next watch after a change, so that a burst of
 	// changes is fetched by one call.
 	batchDelay clock.Millis = 60
 	// firstBackoff and maxBackoff bound the exponential backoff after failed calls, before jitter.
 	firstBackoff clock.Millis = 100
 	maxBackoff                = 1 * clock.Second
+	// maxFirstBackoff bounds the backoff of an instance without a copy, which callers wait for.
+	maxFirstBackoff clock.Millis = 400
 	// maxRetainedChanges is the number of changes that are retained for other instances. An
 	// instance that is further behind gets all objects.
 	maxRetainedChanges = 512
@@ -77,6 +81,8 @@
 	// InitialSyncWait is how long an instance that does not watch waits for its first copy
 	// from a peer before it lists the objects itself.
 	InitialSyncWait clock.Millis
+	// MayListFunc, when set, reports whether a first copy may come from the store.
+	MayListFunc func() bool
 	// ShouldWatchFunc, when set, reports whether this instance should watch the store.
 	// Instances that do not watch pull changes from those that do, and call the store
 	// only when their copy is stale. Nil means that this instance watches.
@@ -147,7 +153,11 @@
 	probe, expirations := false, 0 // expirations counts those of the history since a watch succeeded
 	for ctx.Err() == nil {
 		if !i.shouldCallStore() {
-			_ = i.Clock.Sleep(ctx, ageCheckInterval) // the loop ends when ctx is done
+			pause := ageCheckInterval
+			if i.Position() == 0 {
+				pause = firstCheckInterval
+			}
+			_ = i.Clock.Sleep(ctx, pause) // the loop ends when ctx is done
 			continue
 		}
 		position, wait := i.watchFrom(), i.watchWait()
@@ -207,8 +217,13 @@
 
 // sleepBackoff waits for a backoff with jitter, and returns the next one.
 func (i *Informer) sleepBackoff(ctx context.Context, backoff clock.Millis) clock.Millis {
+	longest := maxBackoff
+	if i.Position() == 0 {
+		longest = maxFirstBackoff
+	}
+	backoff = min(backoff, longest)
 	_ = i.Clock.Sleep(ctx, backoff/2+clock.Millis(rand.Int64N(int64(backoff)))) // the caller's loop ends when ctx is done
-	return min(2*backoff, maxBackoff)
+	return min(2*backoff, longest)
 }
 
 // RestartWatch cancels the watch in progress and starts another from the same version, which does not wait for changes.
@@ -227,6 +242,8 @@
 	}
 	i.watches = watches
 	switch {
+	case i.Position() == 0 && i.MayListFunc != nil && !i.MayListFunc():
+		return false
 	case watches:
 		return true
 	case i.Position() == 0:
