Informer: one kind of objects finds out for all that the store is reached again

What callers saw: an instance back from a cut whose peers had no link to the store acted on an old configuration for up to six seconds. Cause: each of its kinds waited 4 to 6 s after a failed call for others to pass on the recovery. The routing configuration now retries after 1.5 to 2.25 s, and its success makes the others retry.

--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -35,6 +35,9 @@
 	// firstWait is how long a starting instance waits for the copies of others. They come
 	// with its first exchange.
 	firstWait clock.Millis = 1200
+	// lostRetryDelay is the delay of the calls by which an instance that does not watch finds out that it reaches the store
+	// again. The first success makes all kinds retry, so that one of them is enough.
+	lostRetryDelay clock.Millis = 1500
 	// longestFirstWait bounds the wait of a starting instance for the list of instances, and for an exchange with some of them.
 	longestFirstWait = 10 * clock.Second
 	// aloneAfter is the time without a message from any peer after which an instance expects no news from peers. It exceeds two
@@ -135,6 +138,11 @@
 		return
 	}
 	klog.InfoS("Store is reached", "kind", kind)
+	for other, i := range h.informers {
+		if other != kind {
+			i.RetryNow()
+		}
+	}
 }
 
 func (h *Host) wireZone() {
@@ -143,7 +151,8 @@
 		DecodeRolloutFunc: platform.DecodeRollout,
 		OnChange:          func(*curator.View) { h.Runner.WakeWaiters() },
 	}
-	h.inform(platform.RoutingKind, h.promptWait(), h.Curator.ApplyRouting)
+	config := h.inform(platform.RoutingKind, h.promptWait(), h.Curator.ApplyRouting)
+	config.RetryDelay = lostRetryDelay
 	h.inform(platform.EvacuationKind, patientWait, h.Curator.ApplyEvacuations)
 	h.inform(platform.RolloutKind, patientWait, h.Curator.ApplyRollouts)
 	servers := h.inform(platform.ServerKind, h.promptWait(), func(objects []storer.Object) { h.Roster.Apply(objects) })
--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 
@@ -28,10 +29,10 @@
 	askMargin = 1 * clock.Second
 	// staleMargin is how much longer than the wait of a watch a copy that counts as current may be unconfirmed.
 	staleMargin = 2 * clock.Second
-	// storeRetryDelay is the delay, plus up to half of it as jitter, before an instance that
+	// DefaultRetryDelay is the delay, plus up to half of it as jitter, before an instance that
 	// does not watch retries a store that it could not reach. Watching instances retry sooner
 	// and pass the recovery on.
-	storeRetryDelay = 4 * clock.Second
+	DefaultRetryDelay = 4 * clock.Second
 	// aloneRetryDelay is the same while no other instance is heard of, which could pass on the recovery.
 	aloneRetryDelay clock.Millis = 500
 	// ageCheckInterval is how often an instance that does not watch checks the age of its copy.
@@ -78,6 +79,8 @@
 	Kind  storer.ObjectKind
 	// WatchWait is how long the store holds one watch call open; zero for DefaultWatchWait.
 	WatchWait clock.Millis
+	// RetryDelay replaces DefaultRetryDelay; zero for that.
+	RetryDelay clock.Millis
 	// InitialSyncWait is how long an instance that does not watch waits for its first copy
 	// from a peer before it lists the objects itself.
 	InitialSyncWait clock.Millis
@@ -116,6 +119,7 @@
 	aloneRetryAt clock.Millis // the same while no other instance is heard of; accessed only by Run
 	watches      bool         // the last result of ShouldWatchFunc; accessed only by Run
 	call         storeCall
+	retryNow     atomic.Bool
 
 	applyMu  sync.Mutex // held while a change is merged and OnChange is called; acquired before mu
 	mu       sync.Mutex
@@ -190,7 +194,8 @@
 				continue
 			}
 			i.aloneRetryAt = i.Clock.Now() + aloneRetryDelay
-			i.storeRetryAt = i.Clock.Now() + storeRetryDelay + clock.Millis(rand.Int64N(int64(storeRetryDelay)/2))
+			delay := i.retryDelay()
+			i.storeRetryAt = i.Clock.Now() + delay + clock.Millis(rand.Int64N(int64(delay)/2))
 			i.pullFromPeers(ctx)
 			backoff = i.sleepBackoff(ctx, backoff)
 			continue
@@ -250,7 +255,7 @@
 		return i.Clock.Now()-i.startedAt >= i.InitialSyncWait
 	case i.StoreLost():
 		now := i.Clock.Now()
-		return now >= i.storeRetryAt || now >= i.aloneRetryAt && i.AloneFunc != nil && i.AloneFunc()
+		return i.retryNow.Swap(false) || now >= i.storeRetryAt || now >= i.aloneRetryAt && i.AloneFunc != nil && i.AloneFunc()
 	}
 	if age := i.Age(); age > i.watchWait()+askMargin {
 		klog.InfoS("Copy is not confirmed, asking the store", "kind", i.Kind, "age-ms", age)
@@ -259,6 +264,20 @@
 	return false
 }
 
+func (i *Informer) retryDelay() clock.Millis {
+	if i.RetryDelay > 0 {
+		return i.RetryDelay
+	}
+	return DefaultRetryDelay
+}
+
+// RetryNow makes an instance that has lost the store call it without waiting for RetryDelay, once.
+func (i *Informer) RetryNow() {
+	if i.StoreLost() {
+		i.retryNow.Store(true)
+	}
+}
+
 func (i *Informer) watchWait() clock.Millis {
 	if i.WatchWait > 0 {
 		return i.WatchWait
