Informer: a pull from peers delays no call of the store

What callers saw: an instance in touch acted on an old configuration for over three seconds after its connections had fallen silent. Cause: after a failed call it asked up to three peers for changes, one after the other and for 2 s each, before it called the store again. The pull now runs beside the retries.

Measured: TestHungPullDelaysNoCall (new) fails before.

--- a/internal/zone/informer/informer.go
+++ b/internal/zone/informer/informer.go
@@ -154,6 +154,9 @@
 func (i *Informer) Run(ctx context.Context) error {
 	i.startedAt = i.Clock.Now()
 	backoff := firstBackoff
+	var pulls sync.WaitGroup
+	defer pulls.Wait()
+	var pulling sync.Mutex         // held while changes are pulled from peers
 	probe, expirations := false, 0 // expirations counts those of the history since a watch succeeded
 	for ctx.Err() == nil {
 		if !i.shouldCallStore() {
@@ -196,7 +199,12 @@
 			i.aloneRetryAt = i.Clock.Now() + aloneRetryDelay
 			delay := i.retryDelay()
 			i.storeRetryAt = i.Clock.Now() + delay + clock.Millis(rand.Int64N(int64(delay)/2))
-			i.pullFromPeers(ctx)
+			if pulling.TryLock() { // peers may not answer either, and the store is retried meanwhile
+				pulls.Go(func() {
+					defer pulling.Unlock()
+					i.pullFromPeers(ctx)
+				})
+			}
 			backoff = i.sleepBackoff(ctx, backoff)
 			continue
 		}
--- a/internal/zone/informer/informer_test.go
+++ b/internal/zone/informer/informer_test.go
@@ -481,3 +481,40 @@
 		}
 	})
 }
+
+// TestHungPullDelaysNoCall guards against an instance that does not call the store again for seconds, because peers that it asks for
+// changes after a failed call do not answer.
+func TestHungPullDelaysNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		i := &informer.Informer{
+			Clock: &clock.Clock{}, WatchWait: 100,
+			Store: storeOf(func(ident.StoreVersion) (storer.Changes, error) {
+				if down.Load() {
+					return storer.Changes{}, fault.Newf("watch", storer.KindUnavailable, "no answer")
+				}
+				return storer.Changes{Version: 1}, nil
+			}),
+			PullFunc: func(ctx context.Context, _ storer.ObjectKind, _ ident.StorePoint) (informer.Update, bool) {
+				select {
+				case <-ctx.Done():
+				case <-time.After(6 * time.Second):
+				}
+				return informer.Update{}, false
+			},
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { _ = i.Run(ctx); close(ended) }()
+		time.Sleep(250 * time.Millisecond)
+		down.Store(true)
+		time.Sleep(300 * time.Millisecond)
+		down.Store(false)
+		time.Sleep(time.Second)
+		if i.StoreLost() {
+			t.Error("the store has been back for a second and still counts as lost")
+		}
+		stop()
+		<-ended
+	})
+}
