Forwarder: a status below 200 is no answer

What callers could see: a plain service that answers with status 000 was taken at its word; the caller's connection was closed, and the call that may run once counted as answered. Cause: net/http takes any three digits.

Measured: TestStatusThatIsNone of forwarder fails before, in both cases.

--- a/internal/contract/forwarder/forwarder.go
+++ b/internal/contract/forwarder/forwarder.go
@@ -137,6 +137,9 @@
 }
 
 func readAnswer(op string, call Call, resp *http.Response) (Answer, error) {
+	if resp.StatusCode < http.StatusOK { // net/http takes any three digits
+		return Answer{}, fault.Newf(op, KindLost, "status %d is none of a final answer", resp.StatusCode)
+	}
 	if resp.Header.Get(chat.HeaderNotRun) == "true" {
 		return Answer{}, fault.Newf(op, KindRefused, "status %d", resp.StatusCode)
 	}
--- a/internal/contract/forwarder/upload_test.go
+++ b/internal/contract/forwarder/upload_test.go
@@ -53,3 +53,32 @@
 		}
 	}
 }
+
+// TestStatusThatIsNone guards against an answer whose status is no status of the protocol passing for one.
+func TestStatusThatIsNone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))                                                   // the request is the test's own
+			_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n") // fails only if the client has disconnected
+			_ = c.Close()
+		}
+	}()
+	clients, closeClients := dialer.New(nil)
+	defer closeClients()
+	service := forwarder.New(clients)
+	for _, once := range []bool{false, true} {
+		answer, err := service.Forward(context.Background(), forwarder.Call{Address: ident.Address(l.Addr().String()), Request: "r-1", Method: http.MethodGet, Path: "/", AtMostOnce: once})
+		if forwarder.KindOf(err) != forwarder.KindLost {
+			t.Errorf("at most once %v: status %d, error %v, want one of kind %s", once, answer.Status, err, forwarder.KindLost)
+		}
+	}
+}
