Forwarder: the answers that are being read share a memory limit

What callers could see: an instance that runs out of memory while a faulty plain service sends without end, and with it the requests of all other callers. Cause: each answer was bounded, at 8 MB, and all together were not. On the platform path, bodies share a limit already (TestEndlessAnswers, TestHostileServersMemory).

--- a/internal/contract/forwarder/forwarder.go
+++ b/internal/contract/forwarder/forwarder.go
@@ -99,13 +99,20 @@
 // returnedHeaders are the service's headers that are returned to a caller.
 var returnedHeaders = []string{"Content-Type", "Content-Language", "ETag", "Location", "Last-Modified", "Cache-Control"}
 
-// New returns a Forwarder that speaks HTTP.
-func New(d *dialer.Dialer) *Forwarder {
-	h := &httpService{dial: d}
+// ReadFunc reads a body of at most most bytes to its end, within a memory limit that all bodies share. size is its announced
+// length, or negative if unknown. The returned function returns the body's memory to that limit.
+type ReadFunc func(source io.Reader, size, most int64) (content []byte, release func(), err error)
+
+// New returns a Forwarder that speaks HTTP and reads answers by read.
+func New(d *dialer.Dialer, read ReadFunc) *Forwarder {
+	h := &httpService{dial: d, read: read}
 	return &Forwarder{ForwardFunc: h.forward, LookupFunc: h.lookup}
 }
 
-type httpService struct{ dial *dialer.Dialer }
+type httpService struct {
+	dial *dialer.Dialer
+	read ReadFunc
+}
 
 func (h *httpService) forward(ctx context.Context, call Call) (Answer, error) {
 	const op = "forward call"
@@ -133,10 +140,10 @@
 		return Answer{}, fault.New(op, KindLost, err)
 	}
 	defer resp.Body.Close()
-	return readAnswer(op, call, resp)
+	return h.readAnswer(op, call, resp)
 }
 
-func readAnswer(op string, call Call, resp *http.Response) (Answer, error) {
+func (h *httpService) readAnswer(op string, call Call, resp *http.Response) (Answer, error) {
 	if resp.StatusCode < http.StatusOK { // net/http takes any three digits
 		return Answer{}, fault.Newf(op, KindLost, "status %d is none of a final answer", resp.StatusCode)
 	}
@@ -146,13 +153,11 @@
 	if got := resp.Header.Get(chat.HeaderRequestID); got != "" && got != string(call.Request) {
 		return Answer{}, fault.Newf(op, KindMismatched, "answer belongs to request %q", got)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, release, err := h.read(resp.Body, resp.ContentLength, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, fault.New(op, KindLost, err)
 	}
-	if len(body) > maxAnswerBytes {
-		return Answer{}, fault.Newf(op, KindLost, "answer exceeds %d bytes", maxAnswerBytes)
-	}
+	defer release() // the limit is for bodies that don't end; a whole one is soon passed on
 	answer := Answer{Status: resp.StatusCode, Header: http.Header{}, Body: body}
 	copyHeaders(answer.Header, resp.Header, returnedHeaders)
 	return answer, nil
--- a/internal/contract/forwarder/upload_test.go
+++ b/internal/contract/forwarder/upload_test.go
@@ -11,6 +11,7 @@
 	"example.com/dotterelwell/internal/contract/forwarder"
 	"example.com/dotterelwell/internal/link/dialer"
 	"example.com/dotterelwell/internal/machine/ident"
+	"example.com/dotterelwell/internal/request/bufferer"
 )
 
 // TestResetDuringUploadIsNoAnswer guards against a part of an answer without a length passing for the whole, when the server resets the
@@ -38,7 +39,7 @@
 	}()
 	clients, closeClients := dialer.New(nil)
 	defer closeClients()
-	service := forwarder.New(clients)
+	service := forwarder.New(clients, (&bufferer.Bufferer{}).Read)
 	for _, once := range []bool{false, true} {
 		complete := 0
 		const tries = 200
@@ -74,7 +75,7 @@
 	}()
 	clients, closeClients := dialer.New(nil)
 	defer closeClients()
-	service := forwarder.New(clients)
+	service := forwarder.New(clients, (&bufferer.Bufferer{}).Read)
 	for _, once := range []bool{false, true} {
 		answer, err := service.Forward(context.Background(), forwarder.Call{Address: ident.Address(l.Addr().String()), Request: "r-1", Method: http.MethodGet, Path: "/", AtMostOnce: once})
 		if forwarder.KindOf(err) != forwarder.KindLost {
--- a/internal/machine/assembler/node.go
+++ b/internal/machine/assembler/node.go
@@ -27,6 +27,7 @@
 	"example.com/dotterelwell/internal/request/admitter"
 	"example.com/dotterelwell/internal/request/biller"
 	"example.com/dotterelwell/internal/request/billholder"
+	"example.com/dotterelwell/internal/request/bufferer"
 	"example.com/dotterelwell/internal/request/claimer"
 	"example.com/dotterelwell/internal/request/conductor"
 	"example.com/dotterelwell/internal/request/dispatcher"
@@ -167,6 +168,6 @@
 		o.Inferrer = inferrer.New(dial)
 	}
 	if o.Forwarder == nil {
-		o.Forwarder = forwarder.New(dial)
+		o.Forwarder = forwarder.New(dial, (&bufferer.Bufferer{}).Read)
 	}
 }
