Host: calls of the store hold up no housekeeping

What callers may see: servers that a restored store lacks kept in use for up to five seconds and more, where two are allowed, as the instance that holds a roll-out's duty waits for the answer to its status. Cause: the writes of roll-outs, of the quarantine and of the list of instances ran in the loop that expires kept objects and servers, and each may wait for 2 s, and another 2 s for the read after it. They run in loops of their own.

The tests of restores, roll-outs, deadly parts and crashes of platform pass.

--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -120,7 +120,7 @@
 	inFlight         atomic.Int64
 	// asking holds the inquiry about crashes that messages carry while this instance collects them.
 	asking atomic.Pointer[crash.Inquiry]
-	// removedAt is when instances that are gone were last looked for; read by housekeep alone.
+	// removedAt is when instances that are gone were last looked for; read by removeGone alone.
 	removedAt clock.Millis
 	// rolloutPause is until when roll-outs are left alone, in milliseconds.
 	rolloutPause atomic.Int64
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -92,7 +92,11 @@
 	}
 	loop(h.Enlister.Run)
 	loop(h.Gossiper.Run)
-	loop(h.housekeep)
+	loop(h.every(h.housekeep))
+	// These wait for answers of the store.
+	loop(h.every(h.attributeCrashes))
+	loop(h.every(h.recordRollouts))
+	loop(h.every(h.removeGone))
 	for _, run := range h.dutyLoops() {
 		loop(run)
 	}
@@ -178,26 +182,28 @@
 	return from > 0 && now >= from && now+timeout >= at
 }
 
-// housekeep does what depends on time alone.
-func (h *Host) housekeep(ctx context.Context) error {
-	for {
-		if err := h.Clock.Sleep(ctx, tickEvery); err != nil {
-			return nil
+// every returns a loop that calls f at the interval of housekeeping.
+func (h *Host) every(f func(ctx context.Context)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for h.Clock.Sleep(ctx, tickEvery) == nil {
+			f(ctx)
 		}
-		h.Roster.SetReachable(h.Gossiper.Reachable())
-		h.Roster.Tick()
-		h.Transporter.Sweep()
-		h.Sweeper.Sweep()
-		h.Stager.Tick()
-		if h.duties.demander != nil {
-			h.duties.demander.Sample()
-		}
-		for _, i := range h.informers {
-			i.ExpireKept()
-		}
-		h.recordRollouts(ctx)
-		h.attributeCrashes(ctx)
-		h.removeGone(ctx)
+		return nil
+	}
+}
+
+// housekeep does what depends on time alone.
+func (h *Host) housekeep(context.Context) {
+	h.Roster.SetReachable(h.Gossiper.Reachable())
+	h.Roster.Tick()
+	h.Transporter.Sweep()
+	h.Sweeper.Sweep()
+	h.Stager.Tick()
+	if h.duties.demander != nil {
+		h.duties.demander.Sample()
+	}
+	for _, i := range h.informers {
+		i.ExpireKept()
 	}
 }
 
