Host: writes of the quarantine hold up no attribution of crashes

Each entry that is written may wait 2 s for the store's answer, and the inquiries and verdicts about crashed servers waited with it.

--- a/internal/machine/host/crashes.go
+++ b/internal/machine/host/crashes.go
@@ -67,11 +67,15 @@
 	h.Observer.Inquire(n.Inquiry)
 }
 
+// saveQuarantine writes the quarantine to the store, as far as it is this instance's turn.
+func (h *Host) saveQuarantine(ctx context.Context) {
+	h.Quarantiner.Tick(ctx, h.Gossiper.HoldsDuty(quarantineDuty))
+}
+
 // attributeCrashes asks all instances about crashes, and puts the suspects in quarantine that
 // cause them, if this instance collects the reports.
 func (h *Host) attributeCrashes(ctx context.Context) {
 	h.Observer.Settle()
-	h.Quarantiner.Tick(ctx, h.Gossiper.HoldsDuty(quarantineDuty))
 	if !h.Gossiper.CollectsCrashes() {
 		h.asking.Store(nil)
 		return
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -93,8 +93,9 @@
 	loop(h.Enlister.Run)
 	loop(h.Gossiper.Run)
 	loop(h.every(h.housekeep))
-	// These wait for answers of the store.
 	loop(h.every(h.attributeCrashes))
+	// These wait for answers of the store.
+	loop(h.every(h.saveQuarantine))
 	loop(h.every(h.recordRollouts))
 	loop(h.every(h.removeGone))
 	for _, run := range h.dutyLoops() {
