Host: the newest configuration is kept for a minute after a restore

What callers may see: an instance that starts more than 10 s after the return of a store from a copy serves an old configuration, if the operator has not written the newest one again by then. Cause: what a restored store lacks was given up after 10 s, for all kinds alike. Versions of the configuration only rise, so that the newest is right as long as the copy of the store may be old.

--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -72,12 +72,15 @@
 	lapseMargin     clock.Millis = 1400
 )
 
-// keepTimes bounds how long objects are kept that a restored store lacks. A live server writes its
+// keepTimes bounds how long objects are kept that a restored store lacks. The versions of the routing configuration only rise, so
+// that the newest one is right however late the operator writes it again. A live server writes its
 // entry within about two seconds, and that of a dead one lapses. A zone may be taken out of service
 // again although the store holds that order already. Instances write their entries one after the
 // other.
 func (h *Host) keepTimes(kind storer.ObjectKind) informer.KeepTimes {
 	switch kind {
+	case platform.RoutingKind:
+		return informer.KeepTimes{Missing: informer.MaxStoreCopyAge, Changed: informer.MaxStoreCopyAge}
 	case platform.ServerKind:
 		times := informer.KeepTimes{Missing: 2 * clock.Second}
 		if h.Profile.Heartbeat > 0 {
--- a/internal/zone/informer/era.go
+++ b/internal/zone/informer/era.go
@@ -19,8 +19,8 @@
 // as it was. The first change of the object in the new era ends that, and so does time.
 
 const (
-	// copyAge is the age of the oldest copy from which the store is restored.
-	copyAge = 60 * clock.Second
+	// MaxStoreCopyAge is the age of the oldest copy from which the store is restored.
+	MaxStoreCopyAge = 60 * clock.Second
 	// defaultKeepTime is how long objects are kept; it exceeds the time after which writers write
 	// again.
 	defaultKeepTime = 10 * clock.Second
@@ -88,7 +88,7 @@
 func (i *Informer) recordPast(name string) {
 	now := i.Clock.Now()
 	for other, states := range i.past {
-		if states[len(states)-1].until < now-copyAge {
+		if states[len(states)-1].until < now-MaxStoreCopyAge {
 			delete(i.past, other)
 		}
 	}
@@ -101,7 +101,7 @@
 // wasBefore reports whether an object had the given state lately. The lock must be held.
 func (i *Informer) wasBefore(o storer.Object) bool {
 	hash, now := i.hashOf(o), i.Clock.Now()
-	return slices.ContainsFunc(i.past[o.Name], func(s pastState) bool { return s.hash == hash && now-s.until <= copyAge })
+	return slices.ContainsFunc(i.past[o.Name], func(s pastState) bool { return s.hash == hash && now-s.until <= MaxStoreCopyAge })
 }
 
 // discoversRestore reports whether an answer of the store is of an era that the copy is not of, and
@@ -169,7 +169,7 @@
 	for name, held := range i.objects {
 		switch {
 		case listed[name]:
-		case now-i.learnedAt[name] <= copyAge:
+		case now-i.learnedAt[name] <= MaxStoreCopyAge:
 			i.keep(name, held, nil, versionOf(held, earlier[name]))
 		default:
 			i.forget(name)
