Curator: only the operator's object holds the routing configuration

What callers may see: an object of the kind config that another writer has left, with a higher version, comes into force: routes answer 404, and the operator's next changes are ignored for their lower versions.

--- a/internal/machine/host/zone.go
+++ b/internal/machine/host/zone.go
@@ -150,6 +150,7 @@
 
 func (h *Host) wireZone() {
 	h.Curator = &curator.Curator{
+		RoutingName:       platform.RoutingName,
 		DecodeRoutingFunc: platform.DecodeRouting,
 		DecodeRolloutFunc: platform.DecodeRollout,
 		OnChange:          func(*curator.View) { h.Runner.WakeWaiters() },
--- a/internal/zone/curator/curator.go
+++ b/internal/zone/curator/curator.go
@@ -30,6 +30,8 @@
 
 // Curator holds the current view. Set the exported fields before use.
 type Curator struct {
+	// RoutingName is the name of the object that holds the routing configuration. Others of its kind are ignored.
+	RoutingName string
 	// DecodeRoutingFunc and DecodeRolloutFunc decode objects of the store.
 	DecodeRoutingFunc func(value []byte) (*routing.Config, error)
 	DecodeRolloutFunc func(o storer.Object) (backend.Rollout, error)
@@ -66,6 +68,10 @@
 // configuration stays in force when the object is deleted or invalid.
 func (c *Curator) ApplyRouting(objects []storer.Object) {
 	for _, o := range objects {
+		if o.Name != c.RoutingName {
+			klog.InfoS("Ignored an object that is not the routing configuration", "object", o.Name, "revision", o.Version)
+			continue
+		}
 		if o.Deleted {
 			klog.InfoS("Routing configuration was deleted; keeping the last one", "object", o.Name)
 			continue
