Curator: an order to roll out a service has the service's name

What callers may see: an object of the kind rollouts that another writer has left under another name acts as the order for a service, and its release gets a share of the requests. Such orders are ignored and logged.

Measured: TestOrderOfAnotherName (new) fails before, passes; the tests of roll-outs and odd entries of platform pass.

--- a/internal/zone/curator/curator.go
+++ b/internal/zone/curator/curator.go
@@ -127,6 +127,10 @@
 				klog.ErrorS(err, "Ignored an invalid roll-out order", "object", o.Name, "revision", o.Version)
 				continue
 			}
+			if string(order.Service) != o.Name {
+				klog.InfoS("Ignored a roll-out order under another name than its service's", "object", o.Name, "service", order.Service, "revision", o.Version)
+				continue
+			}
 			klog.InfoS("Roll-out order", "service", order.Service, "target", order.Target, "within-ms", order.Within, "outcome", order.Outcome, "revision", o.Version)
 			v.Rollouts[order.Service] = order
 		}
