--- a/internal/contract/forwarder/endless_test.go
+++ b/internal/contract/forwarder/endless_test.go
@@ -13,7 +13,6 @@
 
 	"example.com/dotterelwell/internal/contract/forwarder"
 	"example.com/dotterelwell/internal/link/dialer"
-	"example.com/dotterelwell/internal/machine/ident"
 	"example.com/dotterelwell/internal/request/bufferer"
 )
 
@@ -21,28 +20,14 @@
 // them at the same time and each is below its own bound.
 func TestEndlessBodiesTogether(t *testing.T) {
 	const calls, sentBytes, maxHeapBytes = 40, 7 << 20, 96 << 20
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	var settled sync.WaitGroup // each call has returned, or its body was read as far as it was sent
 	settled.Add(calls)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				_, _ = http.ReadRequest(bufio.NewReader(c))           // the request is the test's own
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")   // fails only if the client has disconnected
-				_, _ = io.Copy(c, io.LimitReader(zeros{}, sentBytes)) // the client may have given up
-				_, _ = io.Copy(io.Discard, c)                         // until the client gives up
-			}()
-		}
-	}()
+	address := serveRaw(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))           // the request is the test's own
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")   // fails only if the client has disconnected
+		_, _ = io.Copy(c, io.LimitReader(zeros{}, sentBytes)) // the client may have given up
+		_, _ = io.Copy(io.Discard, c)                         // until the client gives up
+	})
 	ctx, giveUp := context.WithCancel(context.Background())
 	clients, closeClients := dialer.New(func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dialer.Dial(ctx, network, address)
@@ -53,7 +38,7 @@
 	var returned sync.WaitGroup
 	for range calls {
 		returned.Go(func() {
-			_, err := service.Forward(ctx, forwarder.Call{Address: ident.Address(l.Addr().String()), Request: "r-1", Method: http.MethodGet, Path: "/", AtMostOnce: true})
+			_, err := service.Forward(ctx, forwarder.Call{Address: address, Request: "r-1", Method: http.MethodGet, Path: "/", AtMostOnce: true})
 			if forwarder.KindOf(err) != forwarder.KindLost {
 				t.Errorf("error %v, want one of kind %s", err, forwarder.KindLost)
 			}
--- a/internal/contract/forwarder/upload_test.go
+++ b/internal/contract/forwarder/upload_test.go
@@ -14,14 +14,14 @@
 	"example.com/dotterelwell/internal/request/bufferer"
 )
 
-// TestResetDuringUploadIsNoAnswer guards against a part of an answer without a length passing for the whole, when the server resets the
-// connection while the body of the call is still being written. The kernel tells a reset to whichever of read and write comes first.
-func TestResetDuringUploadIsNoAnswer(t *testing.T) {
+// serveRaw serves each connection on a loopback address by serve, and closes it then.
+func serveRaw(t *testing.T, serve func(c net.Conn)) ident.Address {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { _ = l.Close() }) // it may be closed already
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -29,14 +29,23 @@
 				return
 			}
 			go func() {
-				_, _ = http.ReadRequest(bufio.NewReader(c))                  // the request is the test's own
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{\"part\"") // fails only if the client has disconnected
-				_, _ = io.CopyN(io.Discard, c, 64<<10)                       // the upload goes on
-				_ = c.(*net.TCPConn).SetLinger(0)
+				serve(c)
 				_ = c.Close()
 			}()
 		}
 	}()
+	return ident.Address(l.Addr().String())
+}
+
+// TestResetDuringUploadIsNoAnswer guards against a part of an answer without a length passing for the whole, when the server resets the
+// connection while the body of the call is still being written. The kernel tells a reset to whichever of read and write comes first.
+func TestResetDuringUploadIsNoAnswer(t *testing.T) {
+	address := serveRaw(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))                  // the request is the test's own
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{\"part\"") // fails only if the client has disconnected
+		_, _ = io.CopyN(io.Discard, c, 64<<10)                       // the upload goes on
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
 	clients, closeClients := dialer.New(nil)
 	defer closeClients()
 	service := forwarder.New(clients, (&bufferer.Bufferer{}).Read)
@@ -44,7 +53,7 @@
 		complete := 0
 		const tries = 200
 		for range tries {
-			call := forwarder.Call{Address: ident.Address(l.Addr().String()), Request: "r-1", Method: http.MethodPost, Path: "/", Body: make([]byte, 4<<20), AtMostOnce: once}
+			call := forwarder.Call{Address: address, Request: "r-1", Method: http.MethodPost, Path: "/", Body: make([]byte, 4<<20), AtMostOnce: once}
 			if _, err := service.Forward(context.Background(), call); err == nil {
 				complete++
 			}
@@ -57,27 +66,15 @@
 
 // TestStatusThatIsNone guards against an answer whose status is no status of the protocol passing for one.
 func TestStatusThatIsNone(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(c))                                                   // the request is the test's own
-			_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n") // fails only if the client has disconnected
-			_ = c.Close()
-		}
-	}()
+	address := serveRaw(t, func(c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))                                                   // the request is the test's own
+		_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n") // fails only if the client has disconnected
+	})
 	clients, closeClients := dialer.New(nil)
 	defer closeClients()
 	service := forwarder.New(clients, (&bufferer.Bufferer{}).Read)
 	for _, once := range []bool{false, true} {
-		answer, err := service.Forward(context.Background(), forwarder.Call{Address: ident.Address(l.Addr().String()), Request: "r-1", Method: http.MethodGet, Path: "/", AtMostOnce: once})
+		answer, err := service.Forward(context.Background(), forwarder.Call{Address: address, Request: "r-1", Method: http.MethodGet, Path: "/", AtMostOnce: once})
 		if forwarder.KindOf(err) != forwarder.KindLost {
 			t.Errorf("at most once %v: status %d, error %v, want one of kind %s", once, answer.Status, err, forwarder.KindLost)
 		}
