--- a/internal/zone/curator/curator.go
+++ b/internal/zone/curator/curator.go
@@ -30,7 +30,7 @@
 
 // Curator holds the current view. Set the exported fields before use.
 type Curator struct {
-	// RoutingName is the name of the object that holds the routing configuration. Others of its kind are ignored.
+	// RoutingName, when set, is the name of the object that holds the routing configuration. Others of its kind are ignored.
 	RoutingName string
 	// DecodeRoutingFunc and DecodeRolloutFunc decode objects of the store.
 	DecodeRoutingFunc func(value []byte) (*routing.Config, error)
@@ -68,7 +68,7 @@
 // configuration stays in force when the object is deleted or invalid.
 func (c *Curator) ApplyRouting(objects []storer.Object) {
 	for _, o := range objects {
-		if o.Name != c.RoutingName {
+		if c.RoutingName != "" && o.Name != c.RoutingName {
 			klog.InfoS("Ignored an object that is not the routing configuration", "object", o.Name, "revision", o.Version)
 			continue
 		}
