Transporter: a request that is given up before its answer is reset

What callers may see (GONE): a request reaches a server over half a second after its client has left, though the instance gave it up at once. Cause: its connection was closed in order, and what waits for a narrow, busy or broken link is still delivered then; after a restore of the store the link of an instance that passes on whole copies is busy. The connection is now reset until the head of an answer has come, at peers that carry it too.

--- a/internal/link/dialer/conn.go
+++ b/internal/link/dialer/conn.go
@@ -66,3 +66,12 @@
 
 // WriteTo writes what it reads from the connection to w.
 func (c *conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, struct{ io.Reader }{c}) }
+
+// Abort resets a connection where it can, and closes it otherwise. A connection that is closed in order still delivers the bytes that wait for
+// the link: a request that has been given up would reach its server, possibly long after the caller has left.
+func Abort(c net.Conn) {
+	if socket, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // the connection may be closed already
+	}
+	_ = c.Close() // as above
+}
--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -96,6 +96,9 @@
 	expiresAt clock.Millis
 }
 
+// abort closes the connection of a request that has no answer yet, which unblocks all reads and writes.
+func (c *conn) abort() { dialer.Abort(c.Conn) }
+
 // Call is one request.
 type Call struct {
 	Address ident.Address
@@ -144,13 +147,17 @@
 	if call.RequestFunc != nil {
 		call.Request = call.RequestFunc(c.via)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // closing unblocks all reads and writes
+	stopAborting := context.AfterFunc(ctx, c.abort)
 	resp, err := roundTrip(c, call)
-	if err == nil {
+	if err == nil && stopAborting() {
+		stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // closing unblocks all reads
 		return &Answer{Response: resp, transporter: t, address: call.Address, maxIdle: cmp.Or(call.MaxIdle, defaultMaxIdle), conn: c, stop: stop}, nil
 	}
-	stop()
-	_ = c.Close() // it may be closed already
+	stopAborting()
+	c.abort()
+	if err == nil {
+		err = ctx.Err() // the caller has left as the answer came
+	}
 	kind := KindLost
 	switch {
 	case ctx.Err() != nil:
--- a/internal/link/tunneler/conn.go
+++ b/internal/link/tunneler/conn.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.com/dotterelwell/internal/link/connector"
+	"example.com/dotterelwell/internal/link/dialer"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/ident"
 )
@@ -136,12 +138,17 @@
 // pass passes bytes between a peer and a server until one of them ends, and closes both.
 func pass(peer *Conn, server net.Conn) (end string) {
 	done := make(chan struct{})
+	var answered atomic.Bool
 	go func() {
 		defer close(done)
 		_, _ = io.CopyBuffer(plainWriter{server}, peer, make([]byte, bufferBytes)) // whoever has closed knows why
-		_ = server.Close()
+		if !answered.Load() {
+			dialer.Abort(server) // the peer has given the request up
+			return
+		}
+		_ = server.Close() // it may be closed already
 	}()
-	end = passAnswer(peer, server)
+	end = passAnswer(peer, server, &answered)
 	if end == endServer && peer.SetReadDeadline(time.Now().Add(lastBytesTimeout.Duration())) == nil {
 		<-done // closing a connection on which bytes arrive could discard those that were sent last
 	}
@@ -150,12 +157,13 @@
 	return end
 }
 
-// passAnswer passes the server's bytes on until its connection or the peer's ends.
-func passAnswer(peer *Conn, server net.Conn) string {
+// passAnswer passes the server's bytes on until its connection or the peer's ends, and sets answered at the first of them.
+func passAnswer(peer *Conn, server net.Conn, answered *atomic.Bool) string {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := server.Read(buffer)
 		if n > 0 {
+			answered.Store(true)
 			if _, err := peer.Write(buffer[:n]); err != nil {
 				return endPeer
 			}
--- a/internal/link/tunneler/upload_test.go
+++ b/internal/link/tunneler/upload_test.go
@@ -41,17 +41,23 @@
 	return l, ident.Address(l.Addr().String())
 }
 
+// carry returns an instance that opens tunnels and the address of a peer that carries them, on loopback addresses.
+func carry(t *testing.T) (opener *tunneler.Tunneler, peer ident.Address, closePeer func()) {
+	t.Helper()
+	peers, peer := listenLoopback(t)
+	carrying := &tunneler.Tunneler{Instance: "peer", Limit: 4, DialFunc: dialer.Dial}
+	serving := &connector.Connector{StreamFuncs: map[string]func(*connector.Stream){tunneler.OpenMethod: carrying.Carry}}
+	go func() { _ = serving.Serve(peers, rpc.NewServer()) }() // it ends when the listener closes
+	return &tunneler.Tunneler{Instance: "opener", Connector: &connector.Connector{}}, peer, serving.Close
+}
+
 // TestResetDuringUploadIsNoEnd guards against a server's reset looking like the end of its connection, because the write of an upload had
 // consumed it: an answer without a length would pass for complete.
 func TestResetDuringUploadIsNoEnd(t *testing.T) {
 	servers, server := listenLoopback(t)
 	go resetDuringUpload(servers, "HTTP/1.1 200 OK\r\n\r\npart")
-	peers, peer := listenLoopback(t)
-	carrying := &tunneler.Tunneler{Instance: "peer", Limit: 4, DialFunc: dialer.Dial}
-	serving := &connector.Connector{StreamFuncs: map[string]func(*connector.Stream){tunneler.OpenMethod: carrying.Carry}}
-	go func() { _ = serving.Serve(peers, rpc.NewServer()) }() // it ends when the listener closes
-	defer serving.Close()
-	opener := &tunneler.Tunneler{Instance: "opener", Connector: &connector.Connector{}}
+	opener, peer, closePeer := carry(t)
+	defer closePeer()
 	ends := 0
 	const tries = 300
 	for range tries {
@@ -69,3 +75,30 @@
 		t.Errorf("%d of %d connections that were reset ended in order", ends, tries)
 	}
 }
+
+// TestGivenUpTunnelIsReset guards against what a peer still has of a request reaching the server after the request was given up: a
+// connection that is closed in order delivers it.
+func TestGivenUpTunnelIsReset(t *testing.T) {
+	servers, server := listenLoopback(t)
+	opener, peer, closePeer := carry(t)
+	defer closePeer()
+	tunnel, _, err := opener.Open(context.Background(), "peer", peer, server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := servers.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(tunnel, "GET / HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	_ = tunnel.Close()
+	if _, err := io.ReadAll(c); err == nil {
+		t.Error("the server's connection ended in order")
+	}
+}
