--- a/internal/zone/informer/call.go
+++ b/internal/zone/informer/call.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// restart cancels the call in progress if the store holds it open. Other calls end soon by themselves, and instances that
+// restart cancels the call in progress if the store holds it open. Other calls end soon by themselves, and informers that
 // restart one another's calls would never finish one.
 func (c *storeCall) restart() {
 	c.mu.Lock()
