--- a/internal/zone/informer/merge.go
+++ b/internal/zone/informer/merge.go
@@ -24,9 +24,9 @@
 func (i *Informer) Apply(u Update) {
 	i.applyMu.Lock()
 	defer i.applyMu.Unlock()
-	age := i.Age()
+	age, loaded := i.Age(), i.Loaded()
 	changed := i.merge(u)
-	if len(changed) > 0 && i.Loaded() && age > i.watchWait()+lateMargin {
+	if len(changed) > 0 && loaded && age > i.watchWait()+lateMargin {
 		klog.InfoS("Changes are read late", "kind", i.Kind, "objects", len(changed), "unconfirmed-ms", age, "from-store", u.fetched)
 	}
 	if len(changed) > 0 && i.OnChange != nil {
