--- a/review/lab3/full.go
+++ b/review/lab3/full.go
@@ -27,8 +27,8 @@
 	ok     bool
 }
 
-func fullCase(folder string) {
-	l := newLab(folder)
+func fullCase(folder string, trouble bool) {
+	l := newLab(folder, trouble)
 	l.store.put("config", "main", config(7, []map[string]any{
 		route("/summary/", "streaming", "writers", map[string]any{"resumable": true}),
 		route("/balance/", "idempotent", "desk", map[string]any{"timeout_ms": 600, "target_ttft_ms": 100}),
--- a/review/lab3/gone.go
+++ b/review/lab3/gone.go
@@ -39,8 +39,8 @@
 	return time.Now()
 }
 
-func goneCase(folder string) {
-	l := newLab(folder)
+func goneCase(folder string, trouble bool) {
+	l := newLab(folder, trouble)
 	startDeployment(l, false)
 	begin := time.Now()
 	var mu sync.Mutex
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -33,6 +33,7 @@
 	store   *store
 	storeAt string
 	procs   []*proc
+	// trouble is set if the disruption of the case is played.
 	trouble bool
 	began   time.Time
 
@@ -86,7 +87,7 @@
 `
 
 // newLab makes the record of a case in its folder, and a store with a configuration and servers.
-func newLab(folder string) *lab {
+func newLab(folder string, trouble bool) *lab {
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fail("record: %v", err)
@@ -95,7 +96,7 @@
 	if err != nil {
 		fail("temporary folder: %v", err)
 	}
-	l := &lab{dir: dir, record: record, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
+	l := &lab{dir: dir, record: record, store: newStore(), trouble: trouble, began: time.Now()}
 	l.storeAt = l.serve(l.store)
 	l.note("trouble: %v", l.trouble)
 	go l.watch()
--- a/review/lab3/stop.go
+++ b/review/lab3/stop.go
@@ -204,8 +204,8 @@
 	time.Sleep(time.Second)
 }
 
-func stopCase(folder string) {
-	l := newLab(folder)
+func stopCase(folder string, trouble bool) {
+	l := newLab(folder, trouble)
 	startDeployment(l, true)
 	var mu sync.Mutex
 	var all []outcome
@@ -215,7 +215,7 @@
 	send := func(path string, tokens int, n int) {
 		p := l.procs[n%len(l.procs)]
 		mu.Lock()
-		if !stopped.IsZero() && p == l.procs[0] && time.Since(stopped) > balancerTime {
+		if l.trouble && !stopped.IsZero() && p == l.procs[0] && time.Since(stopped) > balancerTime {
 			p = l.procs[1+n%2] // the balancer has noticed
 		}
 		number++
