--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -255,7 +255,7 @@
 	h.Runner = &runner.Runner{
 		Clock: h.Clock, ViewFunc: h.Curator.View, Roster: h.Roster, Transporter: h.Transporter,
 		Cascader: &cascader.Cascader{}, Predictor: &predictor.Predictor{}, Bufferer: h.bufferer, Observer: h.Observer, Quarantiner: h.Quarantiner, EncodeFunc: platform.EncodeAttempt, DecodeFunc: platform.DecodeHead,
-		ConfigCurrentFunc: routes.Current, StateLoadedFunc: h.informed, StopsBeforeFunc: h.stopsBefore,
+		ConfigCurrentFunc: routes.Current, StateLoadedFunc: h.informed, StopsBeforeFunc: h.stopsBefore, StopAtFunc: h.stopTime,
 		SideFunc: h.Stager.Side, RetryBudgetFunc: h.budget, MaxIdleConnsFunc: h.maxIdle, OnAttemptEnd: h.noteAnswer, OnRequestEnd: h.noteEnd,
 		OnOverrun:      func(bound string) { h.Meter.Overruns.WithLabelValues(bound).Inc() },
 		OnAttemptStart: h.noteWait, OnInterEventLatency: h.notePace, OnSent: h.Stager.PinSession, OnPeerAdvised: h.noteAdvice,
--- a/internal/machine/host/run.go
+++ b/internal/machine/host/run.go
@@ -15,6 +15,7 @@
 	"example.com/dotterelwell/internal/link/gatekeeper"
 	"example.com/dotterelwell/internal/machine/clock"
 	"example.com/dotterelwell/internal/machine/profile"
+	"example.com/dotterelwell/internal/request/runner"
 	"example.com/dotterelwell/platform"
 )
 
@@ -30,6 +31,8 @@
 	// cutPart is the part of the grace period at which streams that still run are cut, for
 	// their callers to resume them at another instance.
 	cutPart = 0.94
+	// endPart is the part of the grace period at which the instance ends at the latest.
+	endPart = 0.97
 	// headerTimeout bounds the wait for a request's first byte on a new connection, and for its header
 	// while no configuration is known.
 	headerTimeout = 15 * clock.Second
@@ -52,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	requests, cutRequests := context.WithCancel(context.Background())
+	requests, cutRequests := context.WithCancelCause(context.Background())
 	background, stopBackground := context.WithCancel(context.Background())
 	var group run.Group
 	loop := func(f func(context.Context) error) {
@@ -86,7 +89,7 @@
 		_ = peers.Close() // it may be closed already
 		h.Connector.Close()
 	})
-	group.Add(func() error { return h.untilStopped(ctx, background, cutRequests) }, func(error) { stopBackground() })
+	group.Add(func() error { return h.untilStopped(ctx, background, func() { cutRequests(runner.ErrStopping) }) }, func(error) { stopBackground() })
 	for _, i := range h.informers {
 		loop(i.Run)
 	}
@@ -139,7 +142,8 @@
 	h.draining.Store(true)
 	klog.InfoS("Instance is draining", "instance", h.Profile.Instance, "in-flight", h.inFlight.Load(), "tunnels", h.Tunneler.Carried())
 	began := h.Clock.Now()
-	cutAt := began + clock.Millis(cutPart*float64(h.currentBounds().Grace))
+	grace := h.currentBounds().Grace
+	cutAt := began + clock.Millis(cutPart*float64(grace))
 	h.stopAt.Store(int64(cutAt))
 	h.stopFrom.Store(int64(began + acceptSpan))
 	if !h.Gossiper.InLargeFleet() {
@@ -155,7 +159,9 @@
 	klog.InfoS("Instance stops", "instance", h.Profile.Instance, "streams-cut", h.inFlight.Load(), "tunnels-cut", h.Tunneler.Carried(), "after-ms", h.Clock.Now()-began)
 	cutRequests()
 	h.tellLastCounts()
-	time.Sleep((tickEvery / 5).Duration())
+	// The answers of the requests that were cut are written until then.
+	endAt := began + clock.Millis(endPart*float64(grace))
+	h.wait(func(now clock.Millis) bool { return now >= endAt || h.idle() })
 	return nil
 }
 
@@ -183,6 +189,9 @@
 	return from > 0 && now >= from && now+timeout >= at
 }
 
+// stopTime returns when a stopping instance cuts the requests that are left, or zero.
+func (h *Host) stopTime() clock.Millis { return clock.Millis(h.stopAt.Load()) }
+
 // every returns a loop that calls f at the interval of housekeeping.
 func (h *Host) every(f func(ctx context.Context)) func(context.Context) error {
 	return func(ctx context.Context) error {
--- a/internal/request/runner/acquire.go
+++ b/internal/request/runner/acquire.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,7 +25,7 @@
 	admission := x.newAdmission()
 	defer admission.end()
 	for {
-		if refusal := x.refuseTooLate(); refusal != nil {
+		if refusal := cmp.Or(x.refuseStopping(), x.refuseTooLate()); refusal != nil {
 			return nil, refusal
 		}
 		if admission.mustWait(x.Clock.Now()) {
@@ -67,6 +68,9 @@
 			if pause.Wait > left {
 				return nil, x.refuseNoSlot(err)
 			}
+			if end, byStop := x.latestEnd(); byStop && x.Clock.Now()+pause.Wait >= end {
+				return nil, x.stoppedRefusal(err)
+			}
 			poll = min(poll, max(pause.Wait, 1))
 			if !queued {
 				queued, endWait = true, x.Roster.StartWait(x.service)
--- a/internal/request/runner/refusal.go
+++ b/internal/request/runner/refusal.go
@@ -29,8 +29,37 @@
 	return refusal
 }
 
-// refuseTooLate returns the refusal of a request that was never sent and can't be answered in the time that is left, or
-// nil. Streams that go on after an event are not refused.
+// refuseStopping returns the refusal of a request that waits, if the instance may stop before the request ends, or nil. The
+// caller still has the time to be served by another instance. A stream that has begun goes on.
+func (x *execution) refuseStopping() *message.Refusal {
+	if x.streamStarted || x.StopsBeforeFunc == nil || !x.StopsBeforeFunc(x.deadline-x.Clock.Now()) {
+		return nil
+	}
+	return x.stoppedRefusal(errors.New("the request may outlast the instance"))
+}
+
+// stoppedRefusal returns the refusal of a request that the stop of the instance ends.
+func (x *execution) stoppedRefusal(err error) *message.Refusal {
+	if x.streamStarted || x.mayHaveRun {
+		return x.refuseUnserved(err)
+	}
+	return x.refuse(message.KindStopping, err)
+}
+
+// latestEnd returns when the request has to end, at its deadline or as the instance stops, and whether the stop comes first.
+func (x *execution) latestEnd() (end clock.Millis, byStop bool) {
+	if x.StopAtFunc == nil {
+		return x.deadline, false
+	}
+	at := x.StopAtFunc()
+	if at == 0 || at >= x.deadline {
+		return x.deadline, false
+	}
+	return at, true
+}
+
+// refuseTooLate returns the refusal of a request that was never sent and can't be answered before its deadline or the stop of
+// the instance, or nil. Streams that go on after an event are not refused.
 func (x *execution) refuseTooLate() *message.Refusal {
 	if x.ranking() == nil || x.sends > 0 || x.mayHaveRun || x.answered != nil || x.streamStarted || x.req.After != "" || len(x.probed) > 0 {
 		return nil
@@ -42,10 +71,15 @@
 	}
 	// The time for the answer isn't counted: hints of its length are often far off.
 	needed := x.Predictor.PrefillTime(x.requestedModel(), max(x.req.PromptTokens-x.req.SharedTokens(), 0))
-	if !refuser.MustRefuse(x.deadline-now, needed, waits) {
+	end, byStop := x.latestEnd()
+	if !refuser.MustRefuse(end-now, needed, waits) {
 		return nil
 	}
-	refusal := x.refuse(message.KindTooLate, errors.Newf("%d ms left, %.0f needed after a wait of %.0f", x.deadline-now, needed, waits.Low))
+	err := errors.Newf("%d ms left, %.0f needed after a wait of %.0f", end-now, needed, waits.Low)
+	if byStop {
+		return x.stoppedRefusal(err)
+	}
+	refusal := x.refuse(message.KindTooLate, err)
 	refusal.RetryAfter = max(defaultRetryAfter, refuser.RetryAfter(waits, x.requestHash))
 	return refusal
 }
@@ -64,13 +98,20 @@
 	return x.refuse(message.KindOverloaded, err)
 }
 
+// ErrStopping is the cause with which the contexts of requests are cancelled as the instance stops. Without a cause, the
+// caller has left.
+var ErrStopping = errors.New("the instance stops")
+
 // contextRefusal returns the refusal of a request whose context is done.
 func (x *execution) contextRefusal() *message.Refusal {
-	if errors.Is(context.Cause(x.ctx), context.DeadlineExceeded) {
+	cause := context.Cause(x.ctx)
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return x.refuseUnserved(errors.New("request deadline exceeded"))
+	case errors.Is(cause, ErrStopping):
+		return x.stoppedRefusal(cause)
+	case x.streamStarted:
+		return x.refuse(message.KindTruncated, cause)
 	}
-	if x.streamStarted {
-		return x.refuse(message.KindTruncated, context.Cause(x.ctx))
-	}
-	return x.refuse(message.KindCallerGone, context.Cause(x.ctx))
+	return x.refuse(message.KindCallerGone, cause)
 }
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -59,9 +59,12 @@
 	// StateLoadedFunc reports whether the instance has read from the store all state that
 	// routing depends on. Nil means that it has.
 	StateLoadedFunc func() bool
-	// StopsBeforeFunc reports whether the instance stops before a new request with this
-	// timeout would end, so that the request must be refused. Nil means that it does not.
+	// StopsBeforeFunc reports whether the instance stops before a request that has not been sent and
+	// may take this long would end, so that the request must be refused. Nil means that it does not.
 	StopsBeforeFunc func(timeout clock.Millis) bool
+	// StopAtFunc returns when the instance cuts the requests that are left, or zero while it does not
+	// stop. Nil means that it never does.
+	StopAtFunc func() clock.Millis
 	// SideFunc, when set, chooses the old or the new release during a roll-out. draw is the
 	// hash of the request or its session.
 	SideFunc func(order backend.Rollout, session string, draw uint64) (side roster.Side, strict bool)
