--- a/internal/link/transporter/transporter.go
+++ b/internal/link/transporter/transporter.go
@@ -129,6 +129,9 @@
 	// Fresh opens a new connection, for requests that must not fail because the server
 	// has closed a pooled one.
 	Fresh bool
+	// SentContext, when set, takes the place of the context of Send once a connection is open and the
+	// request is being sent.
+	SentContext context.Context
 	// HeadTimeout bounds the time to send the request and to read the head of the final
 	// answer; with zero, only the context bounds it.
 	HeadTimeout clock.Millis
@@ -153,7 +156,7 @@
 }
 
 // Send sends a request and returns when the head of the answer has been read.
-// Cancelling ctx closes the connection, at any time until the answer is closed.
+// Cancelling ctx, or Call.SentContext, closes the connection, at any time until the answer is closed.
 func (t *Transporter) Send(ctx context.Context, call Call) (*Answer, error) {
 	const op = "send request"
 	c, err := t.acquire(ctx, call)
@@ -164,6 +167,9 @@
 		_ = c.Close() // the caller has left while the connection was opened
 		return nil, fault.New(op, KindNotSent, err)
 	}
+	if call.SentContext != nil {
+		ctx = call.SentContext
+	}
 	if call.RequestFunc != nil {
 		call.Request = call.RequestFunc(c.via)
 	}
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -149,6 +149,7 @@
 // execution is the state of one request.
 type execution struct {
 	*Runner
+	// ctx ends with the deadline, when the caller leaves, and when the instance stops. An attempt has a context of its own.
 	ctx  context.Context
 	req  *message.Request
 	sink *message.AnswerWriter
@@ -246,9 +247,6 @@
 	if x.req.CallerTimeout > 0 {
 		x.deadline = min(x.deadline, x.req.ArrivedAt+x.req.CallerTimeout)
 	}
-	if !x.repeatable() {
-		x.ctx = context.WithoutCancel(x.ctx) // it runs to its end even if the caller disconnects
-	}
 	ctx, cancel := context.WithDeadline(x.ctx, time.Now().Add((x.deadline - x.Clock.Now()).Duration()))
 	defer cancel()
 	x.ctx = ctx
--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -46,8 +46,8 @@
 	// empty lines that followed it.
 	lastEventAt clock.Millis
 	idleBytes   []byte
-	// observed is the attempt's record at the Observer. attemptCtx ends with the request or, by
-	// cancel, with the attempt alone.
+	// observed is the attempt's record at the Observer. attemptCtx bounds the attempt once the request
+	// is being sent; cancel ends it.
 	observed   *observer.Attempt
 	attemptCtx context.Context
 	cancel     context.CancelFunc
@@ -88,12 +88,16 @@
 			}
 		}
 	}
-	t.attemptCtx, t.cancel = context.WithCancel(x.ctx)
+	t.attemptCtx, t.cancel = x.attemptContext()
 	giveUp := t.cancel
 	if x.route.Delivery == routing.DeliveryOnce {
 		giveUp = nil
 	}
-	connectCtx := t.attemptCtx
+	call.SentContext = t.attemptCtx
+	connectCtx, endConnect := context.WithCancel(x.ctx)
+	defer endConnect()
+	stopLink := context.AfterFunc(t.attemptCtx, endConnect) // an attempt that is given up doesn't connect any more
+	defer stopLink()
 	if !x.repeatable() {
 		connectCtx = tunneler.WithoutCut(connectCtx)
 	}
@@ -133,6 +137,16 @@
 	return t, v, nil
 }
 
+// attemptContext returns the context of an attempt from the moment at which the request is being sent. A request that may run
+// only once then runs to its end, also if the caller leaves: cancelling it would not undo what has been done.
+func (x *execution) attemptContext() (context.Context, context.CancelFunc) {
+	deadline, limited := x.ctx.Deadline()
+	if x.repeatable() || !limited {
+		return context.WithCancel(x.ctx)
+	}
+	return context.WithDeadline(context.WithoutCancel(x.ctx), deadline)
+}
+
 // reportBegin calls OnBegin at the first answer that begins.
 func (x *execution) reportBegin() {
 	if x.OnBegin == nil || x.workspace == nil || x.begun.Swap(true) {
@@ -225,7 +239,7 @@
 	if t.answer != nil {
 		t.answer.Close()
 	}
-	if result != roster.ResultOK && t.attemptCtx.Err() != nil || pathfinder.KindOf(err) == pathfinder.KindNoPath {
+	if result != roster.ResultOK && t.givenUp(result) || pathfinder.KindOf(err) == pathfinder.KindNoPath {
 		result = roster.ResultAbandoned // it says nothing about the server
 	}
 	if t.head.Misdirected {
@@ -245,6 +259,12 @@
 	t.execution.attemptFailed = t.execution.attemptFailed || result == roster.ResultError || result == roster.ResultLost
 }
 
+// givenUp reports whether the attempt ended because this instance or the caller gave it up. The caller can do so until the request
+// is sent, or if it may run again.
+func (t *activeAttempt) givenUp(result roster.Result) bool {
+	return t.attemptCtx.Err() != nil || result == roster.ResultUnreachable && t.ctx.Err() != nil
+}
+
 // overtaken reports whether the attempt was given up because one that started hedgeDelay later has answered.
 func (t *activeAttempt) overtaken(result roster.Result) bool {
 	return result == roster.ResultAbandoned && t.answered != nil && t.answered.Load() && t.Clock.Now()-t.started >= t.hedgeDelay()
