--- a/internal/machine/assembler/run.go
+++ b/internal/machine/assembler/run.go
@@ -55,7 +55,13 @@
 	callers := n.callerServer()
 	operators := &http.Server{Handler: n.reporter().Mux(), ReadHeaderTimeout: headerTimeout.Duration()}
 	group.Add(func() error { return n.untilStopped(ctx, callers) }, func(error) { stopBackground() })
-	group.Add(func() error { return serveHTTP(callers, listeners.caller) }, func(error) { _ = callers.Close() })
+	group.Add(func() error {
+		err := serveHTTP(callers, listeners.caller)
+		if err == nil {
+			<-background.Done() // Serve returns as Shutdown begins, and the first actor that returns ends the group
+		}
+		return err
+	}, func(error) { _ = callers.Close() })
 	group.Add(func() error { return serveHTTP(operators, listeners.operator) }, func(error) { _ = operators.Close() })
 	group.Add(func() error { return n.Exchanger.Serve(listeners.peer) }, func(error) {
 		_ = listeners.peer.Close() // it may be closed already
--- a/internal/machine/assembler/zone_test.go
+++ b/internal/machine/assembler/zone_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	"time"
 
 	"example.com/dotterelwell/declaration"
+	"example.com/dotterelwell/internal/contract/chat"
 	"example.com/dotterelwell/internal/contract/lister"
 	"example.com/dotterelwell/internal/contract/order"
 	"example.com/dotterelwell/internal/standin/fleet"
@@ -287,6 +289,27 @@
 	})
 }
 
+// TestStopFinishesRequests guards against requests in flight being cut as soon as a stopping instance closes its listener, long before
+// its drain timeout.
+func TestStopFinishesRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 0)
+		setDesks := func(state lister.State) {
+			f.List.SetState("desk-1", state)
+			f.List.SetState("desk-2", state)
+		}
+		setDesks(lister.StateLeaving)
+		time.Sleep(2 * time.Second)
+		time.AfterFunc(time.Second, func() { f.Stop(f.Nodes[0]) })
+		time.AfterFunc(6*time.Second, func() { setDesks(lister.StateLive) })
+		ask := fleet.Register("key", "body")
+		ask.Header[chat.HeaderPriority], ask.Header[chat.HeaderTimeout] = "u=7", "60000"
+		if reply, err := f.Send(t.Context(), f.Nodes[0], ask); err != nil || reply.Status != http.StatusOK {
+			t.Errorf("status %d, %s, error %v", reply.Status, reply.Body, err)
+		}
+	})
+}
+
 // TestStoreCalls counts what an idle fleet asks of the store: the watches that wait
 // and the reads in a second. Only two instances of each zone watch.
 func TestStoreCalls(t *testing.T) {
