--- a/internal/machine/assembler/run.go
+++ b/internal/machine/assembler/run.go
@@ -152,6 +152,7 @@
 	klog.InfoS("Instance is draining", "instance", n.Settings.Instance, "in-flight", n.Handler.InFlight())
 	l := n.Settings.Limits
 	_ = n.Clock.Sleep(context.Background(), l.BalancerDelay) // a background context never ends
+	n.Admitter.Stop(n.Clock.Now() + l.DrainTimeout)
 	finish, cancel := context.WithTimeout(context.Background(), l.DrainTimeout.Duration())
 	defer cancel()
 	err := callers.Shutdown(finish)
--- a/internal/machine/assembler/zone_test.go
+++ b/internal/machine/assembler/zone_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,9 @@
 	"example.com/dotterelwell/internal/contract/chat"
 	"example.com/dotterelwell/internal/contract/lister"
 	"example.com/dotterelwell/internal/contract/order"
+	"example.com/dotterelwell/internal/contract/problem"
+	"example.com/dotterelwell/internal/machine/clock"
+	"example.com/dotterelwell/internal/machine/loader"
 	"example.com/dotterelwell/internal/standin/fleet"
 )
 
@@ -310,6 +314,41 @@
 	})
 }
 
+// TestStopEndsWaits guards against requests that wait for a server, or for the store, being closed unanswered when a stopping
+// instance's time is over, though they have not run.
+func TestStopEndsWaits(t *testing.T) {
+	const drainTimeout = 8 * time.Second
+	for name, wait := range map[string]struct {
+		prepare func(f *fleet.Fleet)
+		ask     fleet.Ask
+	}{
+		"no engine": {func(*fleet.Fleet) {}, fleet.Chat("lookups", "waiting", false)},
+		"no server of a call": {func(f *fleet.Fleet) {
+			f.List.SetState("desk-1", lister.StateLeaving)
+			f.List.SetState("desk-2", lister.StateLeaving)
+		}, fleet.Register("key", "body")},
+		"no store for a claim": {func(f *fleet.Fleet) { f.CutPlatform(f.Nodes[0], true); f.CutPlatform(f.Nodes[1], true) }, fleet.Register("key", "body")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2, 0, func(f *fleet.Fleet) {
+					f.Settings = func(s *loader.Settings) { s.Limits.DrainTimeout = clock.Millis(drainTimeout.Milliseconds()) }
+				})
+				wait.prepare(f)
+				time.Sleep(2 * time.Second)
+				wait.ask.Header[chat.HeaderPriority] = "u=7"
+				wait.ask.Header[chat.HeaderTimeout] = "60000"
+				time.AfterFunc(time.Second, func() { f.Stop(f.Nodes[0]) })
+				began := time.Now()
+				reply, err := f.Send(t.Context(), f.Nodes[0], wait.ask)
+				if took := time.Since(began); err != nil || reply.Status != http.StatusServiceUnavailable || reply.Header.Get("Retry-After") == "" || !strings.Contains(string(reply.Body), string(problem.OutcomeNotRun)) || took > drainTimeout/2 {
+					t.Errorf("status %d after %v, Retry-After %q, %s, error %v", reply.Status, took, reply.Header.Get("Retry-After"), reply.Body, err)
+				}
+			})
+		})
+	}
+}
+
 // TestStoreCalls counts what an idle fleet asks of the store: the watches that wait
 // and the reads in a second. Only two instances of each zone watch.
 func TestStoreCalls(t *testing.T) {
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -29,6 +29,8 @@
 	KindTooLate Kind = "too-late"
 	// KindEnded means that the request's context ended while it waited.
 	KindEnded Kind = "ended"
+	// KindStopping means that the instance may stop before the request gets a slot.
+	KindStopping Kind = "stopping"
 )
 
 // Error is the package's error type.
@@ -60,6 +62,8 @@
 	Priority declaration.Priority
 	// Deadline is the latest time at which the request may get its slot.
 	Deadline clock.Millis
+	// Begun is set when the answer may have begun. Such a request waits on at a stop.
+	Begun bool
 	// TryFunc takes a slot if one is free. After an error of the registrar's kinds KindFull and
 	// KindNoServer the request keeps waiting; any other error ends the wait.
 	TryFunc func() (*registrar.Slot, error)
@@ -74,6 +78,7 @@
 
 	mu     sync.Mutex
 	queues map[QueueName]*classQueues
+	stopAt clock.Millis // zero until Stop is called
 }
 
 // classQueues is a queue with a list of waiting requests for each priority class.
@@ -167,8 +172,8 @@
 	return &l.prompt
 }
 
-// refuse returns an error if the queue is full or the request is not expected to get a slot
-// before its deadline.
+// refuse returns an error if the queue is full, or the request is not expected to get a slot
+// before its deadline or may outlast the instance.
 func (a *Admitter) refuse(l *classQueues, queue *list.List, t Request) error {
 	const op = "join queue"
 	limit := a.QueueLimit
@@ -178,6 +183,9 @@
 	if queue.Len() >= limit {
 		return fault.Newf(op, KindQueueFull, "%d requests wait for %s", queue.Len(), t.Queue)
 	}
+	if !t.Begun && a.outlasts(t.Deadline) {
+		return a.stopping()
+	}
 	now := a.Clock.Now()
 	expected := clock.Millis(float64(queue.Len()) * l.grantInterval)
 	if now >= t.Deadline || now+expected > t.Deadline {
@@ -186,6 +194,39 @@
 	return nil
 }
 
+// Stop ends the waits of the requests that may outlast the instance, which stops at the given time, and refuses such requests
+// from now on. Their callers still have the time to be served by another instance.
+func (a *Admitter) Stop(at clock.Millis) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopAt = at
+	for _, l := range a.queues {
+		for _, queue := range []*list.List{&l.prompt, &l.patient} {
+			for element := queue.Front(); element != nil; {
+				next := element.Next()
+				if w := element.Value.(*waiter); !w.request.Begun && a.outlasts(w.request.Deadline) {
+					queue.Remove(element)
+					w.answer <- grant{err: a.stopping()}
+				}
+				element = next
+			}
+		}
+	}
+}
+
+// Outlasts reports whether a wait until the deadline may outlast the instance.
+func (a *Admitter) Outlasts(deadline clock.Millis) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.outlasts(deadline)
+}
+
+func (a *Admitter) outlasts(deadline clock.Millis) bool { return a.stopAt > 0 && deadline >= a.stopAt }
+
+func (a *Admitter) stopping() error {
+	return fault.Newf("wait for slot", KindStopping, "the instance stops in %d ms", a.stopAt-a.Clock.Now())
+}
+
 // ExpectedWait returns the estimated wait of a new request in a queue.
 func (a *Admitter) ExpectedWait(name QueueName, p declaration.Priority) clock.Millis {
 	a.mu.Lock()
--- a/internal/request/conductor/conductor.go
+++ b/internal/request/conductor/conductor.go
@@ -227,6 +227,7 @@
 			Queue:    QueueName(version),
 			Priority: w.request.Priority,
 			Deadline: w.request.Deadline,
+			Begun:    len(exclude) > 0,
 			TryFunc:  func() (*registrar.Slot, error) { return w.Registrar.Acquire(want) },
 		})
 		if err == nil && w.OnDispatch != nil {
--- a/internal/request/dispatcher/once.go
+++ b/internal/request/dispatcher/once.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// claim asks for the right to run; patient calls wait for the store until their deadline.
+// claim asks for the right to run; patient calls wait for the store until their deadline, unless that may outlast the instance.
 func (d *Dispatcher) claim(ctx context.Context, call *Call, e claim.Entry) (claimer.Verdict, error) {
 	started := d.Clock.Now()
 	for {
@@ -98,7 +98,7 @@
 		if call.Priority != declaration.PriorityPatient || ctx.Err() != nil {
 			return claimer.Verdict{}, err
 		}
-		if d.Clock.Now()+claimPause >= call.Deadline {
+		if d.Clock.Now()+claimPause >= call.Deadline || d.Admitter.Outlasts(call.Deadline) {
 			return claimer.Verdict{}, err
 		}
 		if sleepErr := d.Clock.Sleep(ctx, claimPause); sleepErr != nil {
--- a/internal/request/handler/refusal.go
+++ b/internal/request/handler/refusal.go
@@ -67,6 +67,8 @@
 	switch {
 	case admitter.KindOf(err) == admitter.KindQueueFull, admitter.KindOf(err) == admitter.KindTooLate:
 		return problem.New(problem.TypeOverloaded, http.StatusTooManyRequests, outcome, "%v", err).After(max(expected, minRetryAfter))
+	case admitter.KindOf(err) == admitter.KindStopping:
+		return problem.New(problem.TypeStopping, http.StatusServiceUnavailable, outcome, "%v", err).After(minRetryAfter)
 	case admitter.KindOf(err) == admitter.KindEnded:
 		return problem.New(problem.TypeDeadline, http.StatusGatewayTimeout, outcome, "%v", err).After(minRetryAfter)
 	case registrar.KindOf(err) == registrar.KindNoServer:
