A stream that is cut gets the failure that was kept for it

At a planned stop, and at the deadline, callers of streams whose first server had failed and whose second was still at work did not get the first one's answer, as callers of whole answers do: nothing on (TestStopAnswersSentRequests, EOF in 3 of 3 runs), 502 since the stop has a cause of its own.

Cause: two ends of a stream did not look for the kept answer.

--- a/internal/request/runner/stream.go
+++ b/internal/request/runner/stream.go
@@ -77,7 +77,7 @@
 		}
 		t.end(resultByVerdict[v], t.describe(err), err)
 		if x.ctx.Err() != nil {
-			return x.contextRefusal()
+			return x.forwardSaved(x.contextRefusal())
 		}
 		x.excludeServer(slot.Server.ID)
 		if v == verdictUnsent {
@@ -156,7 +156,7 @@
 	t.reportOverrun(err)
 	t.end(roster.ResultLost, "broke off after "+x.lastEventID, err)
 	if x.ctx.Err() != nil {
-		return x.contextRefusal(), true
+		return x.forwardSaved(x.contextRefusal()), true
 	}
 	x.excludeServer(t.slot.Server.ID)
 	if x.resumeSlot != nil || x.mayResume(verdictLost) {
