Soak: requests of every kind wait in long queues when signals come and callers leave

Servers ask for a pause; 60 requests of all four kinds of routes wait at each instance, a third of their callers leave, and instances get SIGTERM and SIGHUP in series that overlap. The run fails if more than three requests reach a server over half a second after their callers left, or one that waited is closed unanswered.

An attempt that may be repeated no longer makes a second context.

--- a/internal/request/runner/send.go
+++ b/internal/request/runner/send.go
@@ -93,13 +93,13 @@
 	if x.route.Delivery == routing.DeliveryOnce {
 		giveUp = nil
 	}
-	call.SentContext = t.attemptCtx
-	connectCtx, endConnect := context.WithCancel(x.ctx)
-	defer endConnect()
-	stopLink := context.AfterFunc(t.attemptCtx, endConnect) // an attempt that is given up doesn't connect any more
-	defer stopLink()
+	connectCtx := t.attemptCtx
 	if !x.repeatable() {
-		connectCtx = tunneler.WithoutCut(connectCtx)
+		call.SentContext = t.attemptCtx
+		unsent, end := context.WithCancel(x.ctx)
+		defer end()
+		defer context.AfterFunc(t.attemptCtx, end)() // an attempt that is given up doesn't connect any more
+		connectCtx = tunneler.WithoutCut(unsent)
 	}
 	t.observed = x.Observer.Start(slot.Server.Incarnation(), x.work, giveUp)
 	answer, err := x.Transporter.Send(connectCtx, call)
