--- a/internal/contract/backend/backend.go
+++ b/internal/contract/backend/backend.go
@@ -81,6 +81,8 @@
 	Within clock.Millis
 	// Outcome is how the roll-out ended; empty while it is in progress.
 	Outcome Outcome
+	// RolledBack is the release of an earlier order that the stored status still names as rolled back.
+	RolledBack Release
 }
 
 // Outcome is how a roll-out ended.
--- a/internal/machine/roster/acquire.go
+++ b/internal/machine/roster/acquire.go
@@ -159,9 +159,10 @@
 	r.homes.Reset()
 	r.leftOut = leftOut{}
 	fleet := r.fleet()
+	withdrawn := view.Withdrawn[want.Service]
 	factor := g.updateBrittle(now)
 	for _, w := range g.rows {
-		if w.leaving() || w.expiresAt > 0 && w.unreachable || !onSide(w, side, order) {
+		if w.leaving() || w.expiresAt > 0 && w.unreachable || !onSide(w, side, order) || withdrawn[w.info.Release] {
 			continue
 		}
 		if len(view.EvacuatedZones) > 0 && view.EvacuatedZones[w.info.Zone] {
--- a/internal/zone/curator/curator.go
+++ b/internal/zone/curator/curator.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -26,6 +27,9 @@
 	EvacuatedZones map[declaration.ZoneName]bool
 	// Rollouts holds the newest roll-out order for each service.
 	Rollouts map[declaration.ServiceName]backend.Rollout
+	// Withdrawn holds the releases of each service that were rolled back and have not been ordered again. They
+	// take no new work, whatever the newest order is.
+	Withdrawn map[declaration.ServiceName]map[backend.Release]bool
 }
 
 // Curator holds the current view. Set the exported fields before use.
@@ -119,6 +123,7 @@
 		}
 		for _, o := range objects {
 			if o.Deleted {
+				v.withdraw(declaration.ServiceName(o.Name), backend.Rollout{})
 				delete(v.Rollouts, declaration.ServiceName(o.Name))
 				continue
 			}
@@ -132,7 +137,31 @@
 				continue
 			}
 			klog.InfoS("Roll-out order", "service", order.Service, "target", order.Target, "within-ms", order.Within, "outcome", order.Outcome, "revision", o.Version)
+			v.withdraw(order.Service, order)
 			v.Rollouts[order.Service] = order
 		}
 	})
 }
+
+// withdraw adds the releases that were rolled back before the next order of a service to Withdrawn, and takes the one out
+// that this orders.
+func (v *View) withdraw(service declaration.ServiceName, next backend.Rollout) {
+	held := v.Rollouts[service]
+	if held.Outcome != backend.OutcomeRolledBack {
+		held.Target = ""
+	}
+	withdrawn := map[backend.Release]bool{held.Target: true, next.RolledBack: true}
+	maps.Copy(withdrawn, v.Withdrawn[service])
+	delete(withdrawn, "")
+	delete(withdrawn, next.Target)
+	if maps.Equal(withdrawn, v.Withdrawn[service]) {
+		return
+	}
+	klog.InfoS("Withdrawn releases change", "service", service, "withdrawn", slices.Sorted(maps.Keys(withdrawn)))
+	all := maps.Clone(v.Withdrawn)
+	if all == nil {
+		all = map[declaration.ServiceName]map[backend.Release]bool{}
+	}
+	all[service] = withdrawn
+	v.Withdrawn = all
+}
