--- a/internal/link/gatekeeper/gatekeeper.go
+++ b/internal/link/gatekeeper/gatekeeper.go
@@ -103,6 +103,11 @@
 	return len(g.conns)
 }
 
+// Full reports whether a new connection would be closed unread: there are as many as may be, each with a request under way.
+func (g *Gatekeeper) Full() bool {
+	return g.Connections > 0 && g.Open() >= g.Connections && g.choose(func(_, _ *Conn) int { return 0 }) == nil
+}
+
 func (g *Gatekeeper) headLimit() int {
 	if g.HeadBytesFunc != nil {
 		if limit := g.HeadBytesFunc(); limit > 0 {
--- a/internal/machine/host/host.go
+++ b/internal/machine/host/host.go
@@ -372,7 +372,7 @@
 
 // ready reports whether callers should be sent to this instance.
 func (h *Host) ready() bool {
-	return !h.draining.Load() && h.Curator.View().Config != nil && h.Roster.HasServers() && h.informed()
+	return !h.draining.Load() && h.Curator.View().Config != nil && h.Roster.HasServers() && h.informed() && !h.gates.callers.Full()
 }
 
 func (h *Host) limits() routing.Limits {
